--- a/standins/src/main/kotlin/org/hickorytiller/standins/Main.kt
+++ b/standins/src/main/kotlin/org/hickorytiller/standins/Main.kt
@@ -20,7 +20,13 @@
         parser.printUsage(System.out)
         return
     }
-    StandIns(EventLoop(), options.port, parseHosts(options.hosts)).start(options.engines, options.services)
+    val control =
+        EngineControl(
+            slots = options.slots,
+            firstTokenMs = options.firstTokenMs,
+            betweenTokensMs = options.betweenTokensMs,
+        )
+    StandIns(EventLoop(), options.port, parseHosts(options.hosts), control).start(options.engines, options.services)
     println("stand-ins listen on 127.0.0.1 from port ${options.port}")
 }
 
--- a/standins/src/main/kotlin/org/hickorytiller/standins/StandInOptions.kt
+++ b/standins/src/main/kotlin/org/hickorytiller/standins/StandInOptions.kt
@@ -19,6 +19,15 @@
     @Option(name = "--services", usage = "number of plain service replicas (default 2)")
     var services = 2
 
+    @Option(name = "--slots", usage = "requests that an engine works on at once (default 8)")
+    var slots = 8
+
+    @Option(name = "--first-token-ms", usage = "time from the start of a request to its first token (default 20)")
+    var firstTokenMs = 20L
+
+    @Option(name = "--between-tokens-ms", usage = "time between two tokens (default 5)")
+    var betweenTokensMs = 5L
+
     @Option(name = "--help", help = true, usage = "show this text")
     var help = false
 }
--- a/standins/src/main/kotlin/org/hickorytiller/standins/StandIns.kt
+++ b/standins/src/main/kotlin/org/hickorytiller/standins/StandIns.kt
@@ -6,7 +6,12 @@
 import java.net.InetSocketAddress
 
 /** All stand-ins of a deployment in one process. [port] is the port of the log; the others follow it. */
-class StandIns(private val loop: EventLoop, private val port: Int, hosts: List<HostEntry>) {
+class StandIns(
+    private val loop: EventLoop,
+    private val port: Int,
+    hosts: List<HostEntry>,
+    private val engineControl: EngineControl = EngineControl(),
+) {
     val log = LogStandIn()
     val ordering = OrderingStandIn { order -> startEngine(order.pool, order.failureDomain, order.reclaimable) }
     val usage = UsageStandIn()
@@ -32,7 +37,7 @@
 
     private fun startEngine(pool: String, failureDomain: String, reclaimable: Boolean): ListedBackendServer {
         val address = loopback(nextPort++)
-        val engine = EngineStandIn("engine-${address.port}")
+        val engine = EngineStandIn("engine-${address.port}", engineControl)
         engine.start(loop.group, loop.scope, address)
         engines += engine
         return ListedBackendServer(
