Bound the cost of a key withdrawal and end uses registered too late

Cause: a use that was registered after its key had been withdrawn was never ended, and replacing the grants rebuilt the whole table. Ruled out: checking the key again before each token, which costs every stream for a case that the registration can decide. Change: attach ends the use at once if the key is withdrawn; grant adds one key without a rebuild; visitedUses counts the uses a withdrawal visits; parseKeyHash accepts 64 lower-case hexadecimal digits only. Figures: with 24,000 keys of 3 uses each a withdrawal visits 3 uses, the other 71,997 stay registered (KeyRegistryTest, counts). Conclusion: the cost of a withdrawal depends on the uses of its key alone.

--- a/keys/src/main/kotlin/org/hickorytiller/keys/KeyHashing.kt
+++ b/keys/src/main/kotlin/org/hickorytiller/keys/KeyHashing.kt
@@ -11,6 +11,10 @@
     return KeyHash(digest.joinToString("") { "%02x".format(it) })
 }
 
+/** The hash written as [text], 64 lower-case hexadecimal digits; null if [text] is anything else. */
+fun parseKeyHash(text: String): KeyHash? =
+    if (text.length == HASH_DIGITS && text.all { it in '0'..'9' || it in 'a'..'f' }) KeyHash(text) else null
+
 /** Generates a key with 192 random bits. */
 fun generateKey(): String {
     val bytes = ByteArray(KEY_BYTES)
@@ -19,3 +23,4 @@
 }
 
 private const val KEY_BYTES = 24
+private const val HASH_DIGITS = 64
--- a/keys/src/main/kotlin/org/hickorytiller/keys/KeyRegistry.kt
+++ b/keys/src/main/kotlin/org/hickorytiller/keys/KeyRegistry.kt
@@ -7,7 +7,7 @@
 import org.hickorytiller.core.CustomerId
 import org.hickorytiller.core.KeyHash
 
-/** Ends what runs under a key, for example a queued request or an open stream. */
+/** Ends what runs under a key, for example a queued request or an open stream. It must not throw. */
 typealias OnWithdrawn = () -> Unit
 
 /** Keys of one router. Confined to the event loop. */
@@ -16,13 +16,23 @@
     private val withdrawn = HashSet<KeyHash>()
     private val uses = HashMap<KeyHash, LinkedHashSet<Use>>()
 
+    /** Number of uses that withdrawals and removed grants have visited; it shows what a withdrawal costs. */
+    var visitedUses = 0L
+        private set
+
     /** The customer that [hash] belongs to; null if the key is unknown or withdrawn. */
     fun customerOf(hash: KeyHash): CustomerId? = if (hash in withdrawn) null else customers[hash]
 
+    /** Grants one more key. Uses of a key that belonged to another customer are ended. */
+    fun grant(hash: KeyHash, customer: CustomerId) {
+        val previous = customers.put(hash, customer)
+        if (previous != null && previous != customer) endUses(hash)
+    }
+
     /** Replaces the granted keys. Keys that are no longer granted stop working at once. */
     fun replaceGrants(grants: Map<KeyHash, CustomerId>) {
         val removed = customers.filter { (hash, customer) -> grants[hash] != customer }.keys.toList()
-        customers.clear()
+        removed.forEach { customers -= it }
         customers.putAll(grants)
         removed.forEach(::endUses)
     }
@@ -34,12 +44,19 @@
         return true
     }
 
-    /** Registers something that runs under [hash]; [onWithdrawn] is called at most once. */
-    fun attach(hash: KeyHash, onWithdrawn: OnWithdrawn): Use = Use(hash, onWithdrawn).also {
-        uses.getOrPut(hash) { LinkedHashSet() } +=
-            it
+    /**
+     * Registers something that runs under [hash]; [onWithdrawn] is called at most once. If the key was withdrawn
+     * between its check and this call, [onWithdrawn] is called at once.
+     */
+    fun attach(hash: KeyHash, onWithdrawn: OnWithdrawn): Use {
+        val use = Use(hash, onWithdrawn)
+        if (hash in withdrawn) onWithdrawn() else uses.getOrPut(hash) { LinkedHashSet() } += use
+        return use
     }
 
+    /** Whether [hash] has been withdrawn. */
+    fun isWithdrawn(hash: KeyHash): Boolean = hash in withdrawn
+
     /** All hashes withdrawn so far. */
     fun withdrawnHashes(): Set<KeyHash> = withdrawn
 
@@ -47,7 +64,11 @@
     fun useCount(hash: KeyHash): Int = uses[hash]?.size ?: 0
 
     private fun endUses(hash: KeyHash) {
-        uses.remove(hash)?.forEach { it.onWithdrawn() }
+        // The entry is removed first, so that a use which closes itself while it ends finds nothing to change.
+        uses.remove(hash)?.forEach {
+            visitedUses++
+            it.onWithdrawn()
+        }
     }
 
     /** A registered use of a key; [close] it when the use ends. */
--- a/keys/src/test/kotlin/org/hickorytiller/keys/KeyRegistryTest.kt
+++ b/keys/src/test/kotlin/org/hickorytiller/keys/KeyRegistryTest.kt
@@ -1,6 +1,7 @@
 package org.hickorytiller.keys
 
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
 import io.kotest.matchers.shouldBe
 import org.hickorytiller.core.CustomerId
 
@@ -40,4 +41,64 @@
         registry.replaceGrants(emptyMap())
         ended shouldBe 1
     }
+
+    @Test
+    fun `guards against a request that was checked before the withdrawal and registered after it`() {
+        val registry = KeyRegistry()
+        registry.grant(hash, customer)
+        registry.withdraw(hash)
+        var ended = 0
+        registry.attach(hash) { ended++ }.close()
+        ended shouldBe 1
+        registry.useCount(hash) shouldBe 0
+    }
+
+    @Test
+    fun `guards against a use that outlives the move of its key to another customer`() {
+        val registry = KeyRegistry()
+        registry.grant(hash, customer)
+        var ended = 0
+        registry.attach(hash) { ended++ }
+        registry.grant(hash, customer)
+        ended shouldBe 0
+        registry.grant(hash, CustomerId("other"))
+        ended shouldBe 1
+    }
+
+    @Test
+    fun `guards against a use that breaks the withdrawal by closing itself while it is ended`() {
+        val registry = KeyRegistry()
+        registry.grant(hash, customer)
+        val closed = mutableListOf<Int>()
+        lateinit var first: KeyRegistry.Use
+        first =
+            registry.attach(hash) {
+                first.close()
+                closed += 1
+            }
+        registry.attach(hash) { closed += 2 }
+        registry.withdraw(hash)
+        closed shouldBe listOf(1, 2)
+    }
+
+    @Test
+    fun `guards against a withdrawal that visits the uses of other keys at 24,000 customers`() {
+        val registry = KeyRegistry()
+        val hashes = (0 until 24_000).map { hashKey("key-$it") }
+        registry.replaceGrants(hashes.withIndex().associate { (i, it) -> it to CustomerId("customer-$i") })
+        var ended = 0
+        hashes.forEach { hash -> repeat(3) { registry.attach(hash) { ended++ } } }
+        registry.withdraw(hashes[12_345])
+        ended shouldBe 3
+        registry.visitedUses shouldBe 3
+        hashes.sumOf { registry.useCount(it) } shouldBe 3 * 23_999
+    }
+
+    @Test
+    fun `guards against text that is taken for a key hash`() {
+        parseKeyHash(hash.value) shouldBe hash
+        listOf("", "secret", hash.value.uppercase(), hash.value.drop(1), hash.value + "0", "g" + hash.value.drop(1)).forAll {
+            parseKeyHash(it) shouldBe null
+        }
+    }
 }
