Decide leases apart from sending and read the stream once for all duties

Cause: the first form read the stream once for each duty, polled for its own record, treated a lost answer as a failure, and let a starting process trust a release that it could have misjudged.

Ruled out: extending the term when the append is answered (a claim that lost the race would count); matching a read-back renewal with the newest attempt (its term would start too late, hence the sequence of a renewal); relying on the table's judgement alone after dropped records (a reader that started late can take an invalid record for a valid one).

Change: LeaseHolder decides claims, renewals, release and waits; LeaseTable makes a candidate wait for every record that it reads, valid or not, and marks a record as uncontested only if no other record of the duty came between; LeaseTask has one reader and waits on records or the decided time. decodeRecord in core tells malformed records from those of a newer schema, on which the process stops competing. Claims are delayed by host and duty, so 360 candidates do not append at once.

--- a/controller/src/main/kotlin/org/hickorytiller/controller/LeaseTask.kt
+++ b/controller/src/main/kotlin/org/hickorytiller/controller/LeaseTask.kt
@@ -1,93 +1,214 @@
-/** Follows the lease stream and competes for one duty. */
+/**
+ * Follows the lease stream once for all duties and carries out what the candidate of each duty decides. Every wait ends
+ * with a record of the stream or at the time that the decision gave.
+ */
 package org.hickorytiller.controller
 
+import arrow.core.Either
 import arrow.core.getOrElse
-import com.fasterxml.jackson.core.JsonProcessingException
-import com.fasterxml.jackson.module.kotlin.readValue
 import io.github.oshai.kotlinlogging.KotlinLogging
-import kotlinx.coroutines.delay
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.collectLatest
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.withTimeoutOrNull
 import org.hickorytiller.core.Clock
+import org.hickorytiller.core.HostId
 import org.hickorytiller.core.LogOffset
-import org.hickorytiller.core.TimeMs
+import org.hickorytiller.core.RecordFault
+import org.hickorytiller.core.decodeRecord
 import org.hickorytiller.core.json
-import org.hickorytiller.leases.Claim
 import org.hickorytiller.leases.ClaimId
 import org.hickorytiller.leases.Duty
+import org.hickorytiller.leases.HeldLease
+import org.hickorytiller.leases.LEASE_SCHEMA
 import org.hickorytiller.leases.LEASE_STREAM
+import org.hickorytiller.leases.LeaseHolder
 import org.hickorytiller.leases.LeaseRecord
+import org.hickorytiller.leases.LeaseStep
 import org.hickorytiller.leases.LeaseTable
-import org.hickorytiller.leases.Renewal
+import org.hickorytiller.leases.LeaseTiming
 import org.hickorytiller.platform.Append
+import org.hickorytiller.platform.LogFailure
+import org.hickorytiller.platform.LogPage
 import org.hickorytiller.platform.LogRecord
 import org.hickorytiller.platform.Read
 import org.hickorytiller.platform.followStream
 import java.util.UUID
 
-/** Candidate for the lease of [duty]. Confined to the event loop. */
+/** What a process does while it holds the lease of a duty; it is cancelled when the lease ends. */
+internal typealias DutyWork = suspend (LeaseView) -> Unit
+
+/** A lease as the work of its duty sees it. */
+internal class LeaseView(val lease: HeldLease, private val holder: LeaseHolder, private val clock: Clock) {
+    /** Offset of the claim, which every order carries. */
+    val fencingToken: LogOffset get() = lease.fencingToken
+
+    /** Whether this very lease is held for at least [remainingMs] more. */
+    fun holds(remainingMs: Long): Boolean {
+        val now = clock()
+        return holder.heldAt(now)?.claimId == lease.claimId && holder.holds(now, remainingMs)
+    }
+}
+
+/** Candidate for the leases of all duties of a controller. Confined to the event loop. */
 internal class LeaseTask(
-    private val duty: Duty,
-    private val settings: ControllerSettings,
+    private val host: HostId,
+    private val timing: LeaseTiming,
     private val clock: Clock,
     private val append: Append,
     private val read: Read,
+    private val newClaimId: () -> ClaimId = { ClaimId(UUID.randomUUID().toString()) },
+    private val onChange: (Duty, HeldLease?) -> Unit = { _, _ -> },
 ) {
-    private val table = LeaseTable(settings.driftMarginMs)
-    private var claimId: ClaimId? = null
-    private var heldUntil: TimeMs? = null
+    private class Candidate(val holder: LeaseHolder) {
+        val changed = Channel<Unit>(Channel.CONFLATED)
+        val held = MutableStateFlow<HeldLease?>(null)
+        val stop = CompletableDeferred<Unit>()
+        val workEnded = CompletableDeferred<Unit>()
+    }
+
+    private val table = LeaseTable(timing.driftMarginMs)
+    private val candidates = LinkedHashMap<Duty, Candidate>()
+    private var halted = false
 
-    /** Whether this process holds the lease for at least [remainingMs] more. */
-    fun holds(remainingMs: Long): Boolean = heldUntil?.let { clock() + remainingMs < it } ?: false
+    /** Why the stream is no longer applied; null while it is. */
+    var fault: String? = null
+        private set
 
-    /** Keeps the table up to date; does not return. */
+    /** The lease of each duty that this process holds now. */
+    fun heldLeases(): List<HeldLease> = candidates.values.mapNotNull { it.holder.heldAt(clock()) }
+
+    /** Keeps the table up to date. Does not return. */
     suspend fun follow(): Nothing = followStream(read, LEASE_STREAM, LogOffset(0)) { page ->
+        if (halted) awaitCancellation()
+        noteDroppedRecords(page)
         page.records.forEach(::apply)
         if (table.seenThrough.next() >= page.end) table.caughtUp(clock())
+        candidates.values.forEach {
+            it.holder.tableChanged()
+            it.changed.trySend(Unit)
+        }
+    }
+
+    /** Competes for [duty] and runs [work] whenever and as long as the lease is held. Returns after [release]. */
+    suspend fun perform(duty: Duty, work: DutyWork) {
+        val candidate = candidates.getOrPut(duty) { newCandidate(duty) }
+        coroutineScope {
+            val competing = launch { compete(candidate) }
+            val working = launch { runWhileHeld(candidate, work) }
+            candidate.stop.await()
+            working.cancel()
+            working.join()
+            candidate.workEnded.complete(Unit)
+            competing.cancel()
+        }
+    }
+
+    /** Ends the candidacy for all duties: stops their work first, then tells the other candidates. */
+    suspend fun release() {
+        candidates.values.forEach { it.stop.complete(Unit) }
+        coroutineScope { candidates.values.forEach { launch { release(it) } } }
     }
 
-    /** Claims the lease when it is free and renews it while it is held; does not return. */
-    suspend fun compete(): Nothing {
+    private suspend fun release(candidate: Candidate) {
+        candidate.workEnded.await()
+        val record = candidate.holder.release(clock()) ?: return
+        append(LEASE_STREAM, json.writeValueAsBytes(record))
+            .onRight { log.info { "lease ${record.duty} released" } }
+            .onLeft { log.warn { "lease ${record.duty} runs out, its release failed: ${it.name.lowercase()}" } }
+        publish(candidate)
+    }
+
+    private fun newCandidate(duty: Duty): Candidate {
+        val claimDelayMs = claimDelayMs(host, duty, timing)
+        return Candidate(LeaseHolder(duty, host.value, timing, table, claimDelayMs, newClaimId))
+    }
+
+    private suspend fun compete(candidate: Candidate) {
         while (true) {
-            if (holds(0)) renew() else claimIfFree()
-            delay(settings.renewIntervalMs)
+            val step = candidate.holder.step(clock())
+            publish(candidate)
+            when (step) {
+                is LeaseStep.Send -> send(candidate, step.record)
+                is LeaseStep.Wait -> await(candidate, step)
+            }
         }
     }
 
-    private suspend fun claimIfFree() {
-        if (!table.mayClaim(duty, clock(), settings.termMs)) return
-        val id = ClaimId(UUID.randomUUID().toString())
-        val sentAt = clock()
-        val record = Claim(duty.value, settings.host.value, id.value, settings.termMs, table.seenThrough.value)
-        val offset = append(LEASE_STREAM, json.writeValueAsBytes(record)).getOrElse { return }
-        awaitRead(offset)
-        if (table.lease(duty)?.claimId != id) return
-        claimId = id
-        heldUntil = sentAt + settings.termMs
-        log.info { "lease $duty held with fencing token $offset" }
+    // The answer of an append is not used beyond a failure: a record counts only when it is read back.
+    private suspend fun send(candidate: Candidate, record: LeaseRecord) {
+        val answer: Either<LogFailure, LogOffset> = append(LEASE_STREAM, json.writeValueAsBytes(record))
+        answer.onLeft { candidate.holder.appendFailed(clock()) }
+    }
+
+    private suspend fun await(candidate: Candidate, step: LeaseStep.Wait) {
+        val until = step.until ?: return candidate.changed.receive()
+        val waitMs = until - clock()
+        if (waitMs > 0) withTimeoutOrNull(waitMs) { candidate.changed.receive() }
+    }
+
+    private suspend fun runWhileHeld(candidate: Candidate, work: DutyWork) {
+        candidate.held.collectLatest { lease ->
+            if (lease != null) work(LeaseView(lease, candidate.holder, clock))
+        }
     }
 
-    private suspend fun renew() {
-        val id = claimId ?: return
-        val sentAt = clock()
-        val record = Renewal(duty.value, settings.host.value, id.value, settings.termMs, table.seenThrough.value)
-        val offset = append(LEASE_STREAM, json.writeValueAsBytes(record)).getOrElse { return }
-        awaitRead(offset)
-        if (table.lease(duty)?.lastOffset == offset) heldUntil = sentAt + settings.termMs
+    // A renewal changes only the end of the lease, which must not restart the work.
+    private fun publish(candidate: Candidate) {
+        val now = candidate.holder.heldAt(clock())
+        val before = candidate.held.value
+        if (now?.claimId == before?.claimId) return
+        candidate.held.value = now
+        onChange(candidate.holder.duty, now)
+        log.info { "lease ${candidate.holder.duty} ${if (now == null) "lost" else "held, token ${now.fencingToken}"}" }
     }
 
-    private suspend fun awaitRead(offset: LogOffset) {
-        while (table.seenThrough < offset) delay(READ_BACK_INTERVAL_MS)
+    private fun noteDroppedRecords(page: LogPage) {
+        if (page.earliest <= table.seenThrough.next()) return
+        log.warn { "records before ${page.earliest} were dropped before they were read" }
+        table.restart(LogOffset(page.earliest.value - 1))
+        candidates.values.forEach { it.holder.historyLost() }
     }
 
     private fun apply(record: LogRecord) {
-        try {
-            table.apply(json.readValue<LeaseRecord>(record.data), record.offset, clock())
-        } catch (e: JsonProcessingException) {
-            log.warn { "lease record ${record.offset} is malformed: ${e.originalMessage}" }
+        if (halted) return
+        decodeRecord(record.data, LeaseRecord::class.java, LEASE_SCHEMA)
+            .onRight { table.apply(it, record.offset, clock()) }
+            .getOrElse { fault -> passOver(record, fault) }
+    }
+
+    private fun passOver(record: LogRecord, recordFault: RecordFault) {
+        table.skip(record.offset)
+        when (recordFault) {
+            is RecordFault.Malformed -> log.warn { "lease record ${record.offset}: ${recordFault.message}" }
+            is RecordFault.UnknownSchema -> {
+                halted = true
+                table.halt()
+                candidates.values.forEach { it.holder.historyLost() }
+                fault = "lease record ${record.offset} has type ${recordFault.type}, schema ${recordFault.schema}"
+                log.error { "$fault; this process stops competing for leases" }
+            }
         }
     }
 
     private companion object {
         val log = KotlinLogging.logger {}
-        const val READ_BACK_INTERVAL_MS = 20L
     }
 }
+
+/**
+ * Delay of the claim of [duty] by [host], different for each pair, so that free duties spread over the hosts and the
+ * candidates do not all append at once: 360 appends at once are about the whole rate of the log.
+ */
+internal fun claimDelayMs(host: HostId, duty: Duty, timing: LeaseTiming): Long {
+    val hash = "${host.value} ${duty.value}".fold(FNV_OFFSET) { hash, char -> (hash xor char.code) * FNV_PRIME }
+    return Math.floorMod(hash xor (hash ushr HASH_FOLD_BITS), timing.renewIntervalMs.toInt()).toLong()
+}
+
+private const val FNV_OFFSET = -0x7ee3623b
+private const val FNV_PRIME = 0x01000193
+private const val HASH_FOLD_BITS = 15
--- a/controller/src/main/kotlin/org/hickorytiller/controller/Main.kt
+++ b/controller/src/main/kotlin/org/hickorytiller/controller/Main.kt
@@ -2,12 +2,14 @@
 package org.hickorytiller.controller
 
 import arrow.core.getOrElse
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.launch
 import org.hickorytiller.core.monotonicClock
 import org.hickorytiller.http.EventLoop
 import org.hickorytiller.http.HttpClient
 import org.hickorytiller.http.HttpLimits
 import org.hickorytiller.leases.Duty
+import org.hickorytiller.leases.LeaseTiming
 import org.hickorytiller.platform.LogClient
 import java.io.File
 import kotlin.system.exitProcess
@@ -29,7 +31,8 @@
 
 private fun startController(settings: ControllerSettings, loop: EventLoop) {
     val log = LogClient(HttpClient(loop.group, HttpLimits()), settings.logAddress)
-    val lease = LeaseTask(Duty("usage-windows"), settings, monotonicClock, log::append, log::read)
-    loop.scope.launch { lease.follow() }
-    loop.scope.launch { lease.compete() }
+    val timing = LeaseTiming(settings.termMs, settings.driftMarginMs, settings.renewIntervalMs)
+    val leases = LeaseTask(settings.host, timing, monotonicClock, log::append, log::read)
+    loop.scope.launch { leases.follow() }
+    loop.scope.launch { leases.perform(Duty("usage-windows")) { awaitCancellation() } }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/hickorytiller/core/RecordFault.kt
@@ -0,0 +1,49 @@
+/**
+ * Decodes records of the platform's log. A malformed record is skipped by every reader alike; a record of a newer
+ * schema or of an unknown type is not guessed at, since readers would then disagree on the state.
+ */
+package org.hickorytiller.core
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.exc.InvalidTypeIdException
+
+/** Why a record cannot be applied. */
+sealed interface RecordFault {
+    /** The record is not what its type requires; all readers skip it. */
+    data class Malformed(val message: String) : RecordFault
+
+    /** The record needs a newer reader; the reader stops applying the stream. */
+    data class UnknownSchema(val type: String, val schema: Int) : RecordFault
+}
+
+/** Decodes [data] as a [type] of at most schema [newestSchema]. */
+fun <T : Any> decodeRecord(data: ByteArray, type: Class<T>, newestSchema: Int): Either<RecordFault, T> {
+    val node =
+        try {
+            json.readTree(data)
+        } catch (e: JsonProcessingException) {
+            return RecordFault.Malformed(e.originalMessage).left()
+        }
+    if (node == null || !node.isObject) return RecordFault.Malformed("not an object").left()
+    val schema = node.path("schema").asInt(1)
+    if (schema > newestSchema) return RecordFault.UnknownSchema(node.typeName(), schema).left()
+    return decodeNode(node, type, schema)
+}
+
+private fun <T : Any> decodeNode(node: JsonNode, type: Class<T>, schema: Int): Either<RecordFault, T> = try {
+    json.treeToValue(node, type).right()
+} catch (e: InvalidTypeIdException) {
+    if (node.typeName().isEmpty()) {
+        RecordFault.Malformed(e.originalMessage).left()
+    } else {
+        RecordFault.UnknownSchema(node.typeName(), schema).left()
+    }
+} catch (e: JsonProcessingException) {
+    RecordFault.Malformed(e.originalMessage).left()
+}
+
+private fun JsonNode.typeName() = path("type").asText("")
--- /dev/null
+++ b/leases/src/main/kotlin/org/hickorytiller/leases/LeaseHolder.kt
@@ -0,0 +1,137 @@
+/**
+ * Decides what a candidate for one duty does next: claim, renew, release or wait. It sends nothing itself; a task
+ * carries out the steps and reports what came of them.
+ */
+package org.hickorytiller.leases
+
+import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.TimeMs
+
+/**
+ * @property termMs term of a lease, counted by the holder from before it sent the record
+ * @property driftMarginMs time that other processes wait beyond the term for the difference between clocks
+ * @property renewIntervalMs time between two renewals
+ * @property retryMs time after which an append that failed or whose answer was lost is repeated
+ */
+data class LeaseTiming(
+    val termMs: Long = 10_000,
+    val driftMarginMs: Long = 1_000,
+    val renewIntervalMs: Long = 3_000,
+    val retryMs: Long = 500,
+)
+
+/** What a candidate does next. */
+sealed interface LeaseStep {
+    /** Append [record]; its term counts from the time at which the step was asked for. */
+    data class Send(val record: LeaseRecord) : LeaseStep
+
+    /** Do nothing until a record of the duty is read, at most until [until]. */
+    data class Wait(val until: TimeMs?) : LeaseStep
+}
+
+/** A lease held by this process. */
+data class HeldLease(val duty: Duty, val claimId: ClaimId, val fencingToken: LogOffset, val until: TimeMs)
+
+/**
+ * Candidate for [duty]. [claimDelayMs] is added to the time at which a claim is allowed; different delays for the hosts
+ * keep them from claiming all at once. Confined to the event loop.
+ */
+class LeaseHolder(
+    val duty: Duty,
+    private val holder: String,
+    private val timing: LeaseTiming,
+    private val table: LeaseTable,
+    private val claimDelayMs: Long,
+    private val newClaimId: () -> ClaimId,
+) {
+    private data class Attempt(val claimId: ClaimId, val sequence: Long)
+
+    // Attempts that a record read back may still confirm, with the time from which their term counts.
+    private val attempts = LinkedHashMap<Attempt, TimeMs>()
+    private var held: HeldLease? = null
+    private var lastSequence = 0L
+    private var nextSendAt: TimeMs? = null
+    private var stopped = false
+
+    /** The lease if this process holds it at [now]. */
+    fun heldAt(now: TimeMs): HeldLease? = held?.takeIf { now < it.until }
+
+    /** Whether this process holds the lease at [now] and for at least [remainingMs] more. */
+    fun holds(now: TimeMs, remainingMs: Long): Boolean = held?.let { now + remainingMs < it.until } ?: false
+
+    /** The next step at [now]. If it is [LeaseStep.Send], the term of the record counts from [now]. */
+    fun step(now: TimeMs): LeaseStep {
+        attempts.values.removeAll { it + timing.termMs <= now }
+        if (stopped) return LeaseStep.Wait(null)
+        val lease = heldAt(now)
+        held = lease
+        return if (lease != null) renewOrWait(lease, now) else claimOrWait(now)
+    }
+
+    /** Reports that the append of the last step failed or that its answer was lost at [now]. */
+    fun appendFailed(now: TimeMs) {
+        nextSendAt = now + timing.retryMs
+    }
+
+    /** Takes note that the table has changed. To be called after the records of a page were applied. */
+    fun tableChanged() {
+        val lease = table.lease(duty)
+        val current = held
+        if (lease == null || lease.released) {
+            held = null
+            return
+        }
+        if (current != null && lease.claimId != current.claimId) held = null
+        val startsOrContinues = lease.sequence == 0L || lease.claimId == held?.claimId
+        if (!startsOrContinues || !lease.uncontested) return
+        val sentAt = attempts.remove(Attempt(lease.claimId, lease.sequence)) ?: return
+        held = HeldLease(duty, lease.claimId, lease.fencingToken, sentAt + timing.termMs)
+        nextSendAt = sentAt + timing.renewIntervalMs
+    }
+
+    /** Gives up the lease and all attempts, since records were dropped before they were read. */
+    fun historyLost() {
+        held = null
+        attempts.clear()
+    }
+
+    /**
+     * Ends the candidacy. Returns the record that tells the others, if the lease is held at [now]. The work of the
+     * duty must have ended before.
+     */
+    fun release(now: TimeMs): LeaseRecord? {
+        val lease = heldAt(now)
+        stopped = true
+        held = null
+        return lease?.let { Release(duty.value, holder, it.claimId.value) }
+    }
+
+    private fun renewOrWait(lease: HeldLease, now: TimeMs): LeaseStep {
+        val due = nextSendAt ?: now
+        if (now < due) return LeaseStep.Wait(minOf(due, lease.until))
+        lastSequence++
+        attempts[Attempt(lease.claimId, lastSequence)] = now
+        nextSendAt = now + timing.renewIntervalMs
+        return LeaseStep.Send(
+            Renewal(
+                duty.value,
+                holder,
+                lease.claimId.value,
+                timing.termMs,
+                table.seenThrough.value,
+                lastSequence,
+            ),
+        )
+    }
+
+    private fun claimOrWait(now: TimeMs): LeaseStep {
+        val claimableAt = table.claimableAt(duty, timing.termMs) ?: return LeaseStep.Wait(null)
+        val due = maxOf(claimableAt + claimDelayMs, nextSendAt ?: claimableAt)
+        if (now < due) return LeaseStep.Wait(due)
+        val claimId = newClaimId()
+        lastSequence = 0
+        attempts[Attempt(claimId, 0)] = now
+        nextSendAt = now + timing.renewIntervalMs
+        return LeaseStep.Send(Claim(duty.value, holder, claimId.value, timing.termMs, table.seenThrough.value))
+    }
+}
--- a/leases/src/main/kotlin/org/hickorytiller/leases/LeaseMessages.kt
+++ b/leases/src/main/kotlin/org/hickorytiller/leases/LeaseMessages.kt
@@ -8,6 +8,9 @@
 /** Name of the stream. */
 val LEASE_STREAM = StreamName("leases")
 
+/** Version of the record formats that this code understands. */
+const val LEASE_SCHEMA = 1
+
 /** A duty that at most one process performs at a time, for example the orders of one failure domain. */
 @JvmInline
 value class Duty(val value: String) {
@@ -31,6 +34,7 @@
     val duty: String
     val holder: String
     val claimId: String
+    val schema: Int
 }
 
 /** Claims a duty. [seenThrough] is the last offset of the stream that the sender had read. */
@@ -40,17 +44,21 @@
     override val claimId: String,
     val termMs: Long,
     val seenThrough: Long,
-    val schema: Int = 1,
+    override val schema: Int = LEASE_SCHEMA,
 ) : LeaseRecord
 
-/** Extends the lease of [claimId] by a term. */
+/**
+ * Extends the lease of [claimId] by a term. [sequence] counts the renewals of the claim from 1, so that the sender
+ * knows from which of its attempts the term of a record that it reads back counts.
+ */
 data class Renewal(
     override val duty: String,
     override val holder: String,
     override val claimId: String,
     val termMs: Long,
     val seenThrough: Long,
-    val schema: Int = 1,
+    val sequence: Long,
+    override val schema: Int = LEASE_SCHEMA,
 ) : LeaseRecord
 
 /** Ends the lease of [claimId] on a planned stop. */
@@ -58,5 +66,5 @@
     override val duty: String,
     override val holder: String,
     override val claimId: String,
-    val schema: Int = 1,
+    override val schema: Int = LEASE_SCHEMA,
 ) : LeaseRecord
--- a/leases/src/test/kotlin/org/hickorytiller/leases/LeaseTableTest.kt
+++ b/leases/src/test/kotlin/org/hickorytiller/leases/LeaseTableTest.kt
@@ -10,6 +10,12 @@
 
     private fun claim(id: String, seenThrough: Long) = Claim(duty.value, "host-$id", id, TERM_MS, seenThrough)
 
+    private fun renewal(id: String, seenThrough: Long, sequence: Long = 1) = Renewal(duty.value, "host-$id", id, TERM_MS, seenThrough, sequence)
+
+    private fun release(id: String) = Release(duty.value, "host-$id", id)
+
+    private fun caughtUpTable() = LeaseTable(MARGIN_MS).also { it.caughtUp(TimeMs(0)) }
+
     @Test
     fun `guards against two holders after racing claims`() {
         val table = LeaseTable(MARGIN_MS)
@@ -20,13 +26,70 @@
 
     @Test
     fun `guards against a claim before the term and the drift margin have passed`() {
-        val table = LeaseTable(MARGIN_MS)
-        table.caughtUp(TimeMs(0))
-        table.mayClaim(duty, TimeMs(TERM_MS + MARGIN_MS - 1), TERM_MS) shouldBe false
-        table.mayClaim(duty, TimeMs(TERM_MS + MARGIN_MS), TERM_MS) shouldBe true
+        val table = caughtUpTable()
+        table.claimableAt(duty, TERM_MS) shouldBe TimeMs(TERM_MS + MARGIN_MS)
         table.apply(claim("a", -1), LogOffset(0), TimeMs(20_000))
-        table.mayClaim(duty, TimeMs(20_000 + TERM_MS + MARGIN_MS - 1), TERM_MS) shouldBe false
-        table.mayClaim(duty, TimeMs(20_000 + TERM_MS + MARGIN_MS), TERM_MS) shouldBe true
+        table.claimableAt(duty, TERM_MS) shouldBe TimeMs(20_000 + TERM_MS + MARGIN_MS)
+    }
+
+    @Test
+    fun `guards against a claim before the end of the stream was read`() {
+        LeaseTable(MARGIN_MS).claimableAt(duty, TERM_MS) shouldBe null
+    }
+
+    @Test
+    fun `guards against a starting process that trusts a release before its startup wait`() {
+        val table = caughtUpTable()
+        table.apply(claim("a", -1), LogOffset(0), TimeMs(100))
+        table.apply(release("a"), LogOffset(1), TimeMs(200))
+        table.claimableAt(duty, TERM_MS) shouldBe TimeMs(TERM_MS + MARGIN_MS)
+    }
+
+    @Test
+    fun `guards against a wait for the term after a release`() {
+        val table = caughtUpTable()
+        table.apply(claim("a", -1), LogOffset(0), TimeMs(50_000))
+        table.apply(release("a"), LogOffset(1), TimeMs(51_000))
+        (table.claimableAt(duty, TERM_MS)!! <= TimeMs(51_000)) shouldBe true
+    }
+
+    @Test
+    fun `guards against a release that hides a claim which this reader may have misjudged`() {
+        val table = caughtUpTable()
+        table.apply(claim("a", -1), LogOffset(0), TimeMs(50_000))
+        table.apply(claim("b", -1), LogOffset(1), TimeMs(50_001)) shouldBe false
+        table.apply(release("a"), LogOffset(2), TimeMs(51_000)) shouldBe true
+        table.claimableAt(duty, TERM_MS) shouldBe TimeMs(50_001 + TERM_MS + MARGIN_MS)
+    }
+
+    @Test
+    fun `guards against a late renewal of a lease that another process has taken over`() {
+        val table = LeaseTable(MARGIN_MS)
+        table.apply(claim("a", -1), LogOffset(0), TimeMs(0))
+        table.apply(claim("b", 0), LogOffset(1), TimeMs(20_000)) shouldBe true
+        table.apply(renewal("a", 0), LogOffset(2), TimeMs(20_001)) shouldBe false
+        table.lease(duty)?.claimId shouldBe ClaimId("b")
+    }
+
+    @Test
+    fun `guards against a misjudged old record that hides the true holder for good`() {
+        val table = LeaseTable(MARGIN_MS)
+        table.restart(LogOffset(9))
+        table.apply(claim("old", 2), LogOffset(10), TimeMs(0)) shouldBe true
+        table.apply(renewal("true", 8, 5), LogOffset(11), TimeMs(1)) shouldBe false
+        table.apply(renewal("true", 11, 6), LogOffset(12), TimeMs(3_001)) shouldBe true
+        table.lease(duty)?.claimId shouldBe ClaimId("true")
+    }
+
+    @Test
+    fun `guards against a claim after dropped records or an unknown schema`() {
+        val table = caughtUpTable()
+        table.restart(LogOffset(40))
+        table.claimableAt(duty, TERM_MS) shouldBe null
+        table.caughtUp(TimeMs(90_000))
+        table.claimableAt(duty, TERM_MS) shouldBe TimeMs(90_000 + TERM_MS + MARGIN_MS)
+        table.halt()
+        table.claimableAt(duty, TERM_MS) shouldBe null
     }
 
     private companion object {
