--- a/configuration/src/main/kotlin/org/hickorytiller/configuration/ConfigurationDocument.kt
+++ b/configuration/src/main/kotlin/org/hickorytiller/configuration/ConfigurationDocument.kt
@@ -81,7 +81,7 @@
     val classes: List<ClassId>,
 )
 
-/** The merged document. */
+/** The merged document. Routes are in the order of their names. */
 data class ConfigurationDocument(
     val customers: Map<CustomerId, Customer> = emptyMap(),
     val classes: Map<ClassId, RequestClass> = emptyMap(),
@@ -89,9 +89,12 @@
     val pools: Map<PoolId, Pool> = emptyMap(),
     val routes: List<Route> = emptyList(),
 ) {
-    /** The customer of each granted key. */
-    fun grants(): Map<KeyHash, CustomerId> =
-        customers.values.flatMap { customer -> customer.keys.map { it to customer.id } }.toMap()
+    /** The customer of each key in the customers section. Built once, when it is first needed. */
+    val keyOwners: Map<KeyHash, CustomerId> by lazy(LazyThreadSafetyMode.NONE) {
+        val owners = HashMap<KeyHash, CustomerId>(customers.size * 2)
+        customers.values.forEach { customer -> customer.keys.forEach { owners.putIfAbsent(it, customer.id) } }
+        owners
+    }
 
     /** The route for [path], and for a chat request its [model]. */
     fun route(path: String, model: ModelId? = null): Route? =
--- a/configuration/src/main/kotlin/org/hickorytiller/configuration/ConfigurationParser.kt
+++ b/configuration/src/main/kotlin/org/hickorytiller/configuration/ConfigurationParser.kt
@@ -1,140 +1,118 @@
 /**
- * Parses sections of the configuration document from TOML and checks the references between them.
+ * Parses the configuration document of operators and the changes of sections on the stream. All faults of a document
+ * are reported at once, each with the line and the section that it is in.
  */
 package org.hickorytiller.configuration
 
 import arrow.core.Either
-import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
+import com.fasterxml.jackson.core.JsonLocation
 import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.node.ObjectNode
-import org.hickorytiller.core.ClassId
-import org.hickorytiller.core.CustomerId
-import org.hickorytiller.core.KeyHash
-import org.hickorytiller.core.ModelId
-import org.hickorytiller.core.PoolId
-import org.hickorytiller.core.RequestClass
 import org.hickorytiller.core.SettingsFault
 import org.hickorytiller.core.SettingsReader
-import org.hickorytiller.core.Tier
 import org.hickorytiller.core.readSettings
 import org.hickorytiller.core.toml
 
 /**
- * Splits a whole document into the TOML text of its sections, for publishing each on its own. A name that is not a
- * section is a fault.
+ * A fault of a document.
+ *
+ * @property line line of the text, counted from 1; null if the fault belongs to no line
+ * @property name dotted name of the entry or value; empty if the text is not TOML
  */
-fun splitSections(text: String): Either<List<SettingsFault>, Map<Section, String>> {
-    val root =
-        try {
-            toml.readTree(text) as ObjectNode
-        } catch (e: JsonProcessingException) {
-            return listOf(SettingsFault("", "line ${e.location?.lineNr ?: 0}: ${e.originalMessage}")).left()
+data class DocumentFault(val line: Int?, val name: String, val message: String) {
+    override fun toString() = listOfNotNull(line?.let { "line $it" }, name.ifEmpty { null }, message).joinToString(": ")
+}
+
+/** What a file says: the document, and the sections that the file has. A section that it lacks stays as it is. */
+data class ParsedDocument(val sections: Set<Section>, val document: ConfigurationDocument)
+
+/** Parses a document whose missing sections are those of [base], and checks the whole. */
+fun parseDocument(
+    text: String,
+    base: ConfigurationDocument = ConfigurationDocument(),
+): Either<List<DocumentFault>, ParsedDocument> {
+    val root = parseToml(text).fold({ return listOf(it).left() }, { it })
+    val sections = Section.entries.filter { root.has(it.key) }
+    var document = base
+    val read =
+        readSettings(root) { reader ->
+            sections.forEach { section ->
+                val cleared = document.without(section, document.entryNames(section))
+                document = cleared.withEntries(section, reader.table(section.key))
+            }
         }
-    val unknown = root.fieldNames().asSequence().filter { Section.of(it) == null }.toList()
-    if (unknown.isNotEmpty()) return unknown.map { SettingsFault(it, "unknown section") }.left()
-    return Section.entries
-        .filter { root.has(it.key) }
-        .associateWith { toml.writeValueAsString(toml.createObjectNode().set<ObjectNode>(it.key, root.get(it.key))) }
-        .right()
+    val faults = read.fold({ it }, { emptyList() })
+    // A value that could not be read has a placeholder; what that breaks would only repeat the fault.
+    val names = faults.mapTo(HashSet()) { it.name }
+    val all = faults + referenceFaults(document).filter { it.name !in names }
+    if (all.isNotEmpty()) return all.map { located(text, it) }.left()
+    return ParsedDocument(sections.toSet(), document).right()
 }
 
-/** Parses and checks the merged document given by the TOML text of each section. */
-fun parseDocument(sections: Map<Section, String>): Either<List<SettingsFault>, ConfigurationDocument> {
+/** The document with the change of a section in [contents] and [removed], not checked against other sections. */
+internal fun ConfigurationDocument.changed(
+    section: Section,
+    contents: List<String>,
+    removed: Collection<String>,
+): Either<List<SettingsFault>, ConfigurationDocument> {
     val faults = mutableListOf<SettingsFault>()
-    var document = ConfigurationDocument()
-    for ((section, text) in sections) {
-        document =
-            readSettings(text) { parseSection(document, section, it.table(section.key)) }
-                .onLeft { faults += it }
-                .getOrElse { document }
+    var document = without(section, removed)
+    for (content in contents.filter { it.isNotBlank() }) {
+        val root =
+            parseToml(content).fold({ return listOf(SettingsFault(section.key, it.toString())).left() }, { it })
+        readSettings(root) { reader: SettingsReader -> document.withEntries(section, reader.table(section.key)) }
+            .fold({ faults += it }, { document = it })
     }
-    faults += referenceFaults(document)
     return if (faults.isEmpty()) document.right() else faults.left()
 }
 
-private fun parseSection(document: ConfigurationDocument, section: Section, reader: SettingsReader) = when (section) {
-    Section.CUSTOMERS -> document.copy(customers = reader.tables(::customer).associateBy { it.id })
-    Section.CLASSES -> document.copy(classes = reader.tables(::requestClass).associateBy { it.id })
-    Section.BUDGETS -> document.copy(budgets = reader.tables(::budget).associateBy { it.pool })
-    Section.BACKEND_SERVERS -> document.copy(pools = reader.tables(::pool).associateBy { it.id })
-    Section.ROUTES -> document.copy(routes = reader.tables(::route))
+internal fun ConfigurationDocument.entryNames(section: Section): Collection<String> = when (section) {
+    Section.CUSTOMERS -> customers.keys.map { it.value }
+    Section.CLASSES -> classes.keys.map { it.value }
+    Section.BUDGETS -> budgets.keys.map { it.value }
+    Section.BACKEND_SERVERS -> pools.keys.map { it.value }
+    Section.ROUTES -> routes.map { it.name }
 }
 
-private fun customer(name: String, reader: SettingsReader) = Customer(
-    id = CustomerId(name),
-    weight = reader.long("weight", 1L..MAX_WEIGHT, default = 1).toDouble(),
-    requestsPerMinute = reader.int("requestsPerMinute", 0..MAX_COUNT, default = 0),
-    maxConcurrent = reader.int("maxConcurrent", 0..MAX_COUNT, default = 0),
-    keys = reader.strings("keyHashes").map { KeyHash(it) }.toSet(),
-)
-
-private fun requestClass(name: String, reader: SettingsReader) = RequestClass(
-    id = ClassId(name),
-    tier = Tier(reader.int("tier", 0..MAX_TIER)),
-    firstTokenTargetMs = reader.long("firstTokenTargetMs", 1..MAX_TIME_MS),
-    betweenTokensTargetMs = reader.long("betweenTokensTargetMs", 1..MAX_TIME_MS, default = MAX_TIME_MS),
-    timeoutMs = reader.long("timeoutMs", 1..MAX_TIME_MS),
-)
+private fun parseToml(text: String): Either<DocumentFault, ObjectNode> = try {
+    // An empty text gives a missing node instead of an empty table.
+    (toml.readTree(text) as? ObjectNode ?: toml.createObjectNode()).right()
+} catch (e: JsonProcessingException) {
+    DocumentFault(e.location?.let(::lineOf), "", e.originalMessage).left()
+}
 
-private fun budget(name: String, reader: SettingsReader) = Budget(
-    pool = PoolId(name),
-    maxCentsPerHour = reader.long("maxCentsPerHour", 0L..MAX_COUNT),
-    centsPerServerHour = reader.long("centsPerServerHour", 0L..MAX_COUNT),
-    centsPerReclaimableServerHour = reader.long("centsPerReclaimableServerHour", 0L..MAX_COUNT),
-    minServers = reader.int("minServers", 0..MAX_COUNT, default = 1),
-    maxServers = reader.int("maxServers", 0..MAX_COUNT),
-)
+/** The line of a syntax fault. The parser notices some faults only at the start of the next line. */
+private fun lineOf(location: JsonLocation): Int =
+    if (location.columnNr <= 1 && location.lineNr > 1) location.lineNr - 1 else location.lineNr
 
-private fun pool(name: String, reader: SettingsReader) = Pool(
-    id = PoolId(name),
-    kind = if (reader.choice("kind", listOf("engine", "service")) ==
-        "engine"
-    ) {
-        PoolKind.ENGINE
-    } else {
-        PoolKind.SERVICE
-    },
-    model = reader.string("model", default = "-").takeIf { it != "-" }?.let { ModelId(it) },
-    checksFencingToken = reader.boolean("checksFencingToken", default = false),
-)
+private fun located(text: String, fault: SettingsFault) =
+    DocumentFault(lineOf(text, fault.name), fault.name, fault.message)
 
-private fun route(name: String, reader: SettingsReader) = Route(
-    name = name,
-    path = reader.string("path"),
-    pool = PoolId(reader.string("pool")),
-    open = reader.boolean("open", default = false),
-    idempotent = reader.boolean("idempotent", default = false),
-    classes = reader.strings("classes").map { ClassId(it) },
-)
+/** The line of [text] that sets the dotted [name], or else the one that begins the table it belongs to. */
+internal fun lineOf(text: String, name: String): Int? {
+    val wanted = name.dottedName()
+    val names = namesByLine(text)
+    val enclosing = names.filter { (_, full) -> full == wanted || wanted.startsWith("$full.") }
+    val best =
+        enclosing.maxByOrNull { (_, full) -> full.length } ?: names.firstOrNull { it.second.startsWith("$wanted.") }
+    return best?.first
+}
 
-private fun referenceFaults(document: ConfigurationDocument): List<SettingsFault> = buildList {
-    document.routes.forEach { route ->
-        if (route.pool !in
-            document.pools
-        ) {
-            add(SettingsFault("routes.${route.name}.pool", "unknown pool ${route.pool}"))
+/** The number of each line that begins a table or sets a value, with the dotted name of the table or value. */
+private fun namesByLine(text: String): List<Pair<Int, String>> = buildList {
+    var table = ""
+    text.lines().forEachIndexed { index, line ->
+        val trimmed = line.trim()
+        if (trimmed.startsWith("[")) {
+            table = trimmed.substringBefore('#').trim().trim('[', ']').dottedName()
+            add(index + 1 to table)
+        } else if ('=' in trimmed && !trimmed.startsWith("#")) {
+            val key = trimmed.substringBefore('=').dottedName()
+            add(index + 1 to if (table.isEmpty()) key else "$table.$key")
         }
-        if (route.classes.isEmpty()) add(SettingsFault("routes.${route.name}.classes", "needs at least one class"))
-        route.classes
-            .filter { it !in document.classes }
-            .forEach { add(SettingsFault("routes.${route.name}.classes", "unknown class $it")) }
     }
-    document.budgets.keys
-        .filter { it !in document.pools }
-        .forEach { add(SettingsFault("budgets.$it", "unknown pool $it")) }
-    duplicateKeys(document).forEach { add(SettingsFault("customers", "key $it is granted to two customers")) }
 }
 
-private fun duplicateKeys(document: ConfigurationDocument) = document.customers.values
-    .flatMap { it.keys }
-    .groupingBy { it }
-    .eachCount()
-    .filter { it.value > 1 }
-    .keys
-
-private const val MAX_WEIGHT = 1_000L
-private const val MAX_COUNT = 1_000_000_000
-private const val MAX_TIER = 9
-private const val MAX_TIME_MS = 86_400_000L
+private fun String.dottedName() = filter { it != '"' && it != ' ' }
--- /dev/null
+++ b/configuration/src/test/kotlin/org/hickorytiller/configuration/ConfigurationStateTest.kt
@@ -0,0 +1,160 @@
+package org.hickorytiller.configuration
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.maps.shouldNotContainKey
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import io.kotest.matchers.types.shouldBeInstanceOf
+import io.kotest.matchers.types.shouldBeSameInstanceAs
+import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.KeyHash
+import org.hickorytiller.core.LogOffset
+import org.hickorytiller.keys.hashKey
+
+class ConfigurationStateTest : AnnotationSpec() {
+    private val clinic = "[customers.clinic]\nweight = 2\n"
+    private val key = hashKey("key").value
+
+    @Test
+    fun `guards against a second proposal on the same base that undoes the first`() {
+        val first = stateOf(proposal(Section.CUSTOMERS, -1, clinic))
+        val second = first.step(proposal(Section.CUSTOMERS, -1, "[customers.clinic]\nweight = 9\n"), LogOffset(1))
+        second.outcome shouldBe Outcome.Rejected(Rejection.Conflict(LogOffset(0)))
+        second.state shouldBe first.skip(LogOffset(1))
+    }
+
+    @Test
+    fun `guards against sections of different teams that conflict with each other`() {
+        val state = exampleState()
+        Section.entries.map { state.offsetOf(it).value }.toSet().size shouldBe Section.entries.size
+        state.document shouldBe parseDocument(exampleDocument).getOrNull()!!.document
+    }
+
+    @Test
+    fun `guards against an accepted change that leaves a reference to nothing`() {
+        val state = exampleState()
+        val removal = proposal(Section.CLASSES, state.offsetOf(Section.CLASSES).value, "", removed = listOf("reports"))
+        val step = state.step(removal, state.offset.next())
+        val rejection = step.outcome.shouldBeInstanceOf<Outcome.Rejected>().rejection
+        rejection.shouldBeInstanceOf<Rejection.Invalid>().faults shouldBe listOf("routes.chat.classes: unknown class reports")
+        step.state.document shouldBe state.document
+    }
+
+    @Test
+    fun `guards against a withdrawn key that works again, whoever grants it and in whatever order`() {
+        val withdrawal = KeyWithdrawn(key)
+        val grant = KeyGranted("clinic", key, "")
+        val section = proposal(Section.CUSTOMERS, -1, "[customers.clinic]\nkeyHashes = [\"$key\"]\n")
+        val plain = proposal(Section.CUSTOMERS, -1, clinic)
+        listOf(
+            stateOf(plain, grant, withdrawal),
+            stateOf(plain, withdrawal, grant),
+            stateOf(withdrawal, plain, grant, withdrawal, grant),
+            stateOf(withdrawal, section),
+            stateOf(section, withdrawal, proposal(Section.CUSTOMERS, 0, "[customers.other]\n", "p-2")),
+        ).forAll { it.activeKeys() shouldNotContainKey KeyHash(key) }
+    }
+
+    @Test
+    fun `guards against a key that belongs to two customers`() {
+        val state = stateOf(proposal(Section.CUSTOMERS, -1, clinic + "[customers.other]\n"), KeyGranted("clinic", key, "desk"))
+        state.activeKeys() shouldBe mapOf(KeyHash(key) to CustomerId("clinic"))
+        val again = state.step(KeyGranted("clinic", key, "desk"), LogOffset(2))
+        again.outcome shouldBe Outcome.Accepted
+        val other = state.step(KeyGranted("other", key, "desk"), LogOffset(2))
+        other.outcome.shouldBeInstanceOf<Outcome.Rejected>()
+        other.state.activeKeys() shouldBe state.activeKeys()
+        val listed = state.step(proposal(Section.CUSTOMERS, 0, "[customers.other]\nkeyHashes = [\"$key\"]\n"), LogOffset(2))
+        listed.outcome.shouldBeInstanceOf<Outcome.Rejected>()
+    }
+
+    @Test
+    fun `guards against a new customer that inherits the keys of an old one of the same name`() {
+        val state =
+            stateOf(
+                proposal(Section.CUSTOMERS, -1, clinic),
+                KeyGranted("clinic", key, ""),
+                proposal(Section.CUSTOMERS, 0, "", "remove", listOf("clinic")),
+                proposal(Section.CUSTOMERS, 2, clinic, "again"),
+            )
+        state.document.customers.keys shouldBe setOf(CustomerId("clinic"))
+        state.activeKeys() shouldBe emptyMap()
+    }
+
+    @Test
+    fun `guards against a grant to a customer that does not exist`() {
+        stateOf(KeyGranted("nobody", key, "")).activeKeys() shouldBe emptyMap()
+    }
+
+    @Test
+    fun `guards against a large proposal that is accepted in part or not at all`() {
+        val document = parseDocument(customersText(3_000)).getOrNull()!!.document
+        val change = diff(ConfigurationDocument(), document, Section.CUSTOMERS)
+        val parts = sectionProposals("big", Section.CUSTOMERS, LogOffset.NONE, "operator", change)
+        (parts.size > 1) shouldBe true
+        parts.forAll { (encodeRecord(it).size < MAX_RECORD_BYTES) shouldBe true }
+        // A repeated part, as after a lost answer, and a part of another order must not matter.
+        val records = parts.reversed().dropLast(1) + parts.last() + parts.first()
+        val before = stateOf(*records.dropLast(1).toTypedArray())
+        before.document.customers.size shouldBe 0
+        val after = before.step(records.last(), before.offset.next())
+        after.outcome shouldBe Outcome.Accepted
+        after.state.document shouldBe document
+        after.state.pending.shouldBeEmpty()
+        after.state.offsetOf(Section.CUSTOMERS) shouldBe after.state.offset
+    }
+
+    @Test
+    fun `guards against abandoned proposals that hold memory without bound`() {
+        val state =
+            (0 until 100).fold(ConfigurationState()) { state, i ->
+                state.apply(proposal(Section.CUSTOMERS, -1, clinic, "p-$i").copy(parts = 2), LogOffset(i.toLong()))
+            }
+        state.pending.map { it.proposalId } shouldBe (92 until 100).map { "p-$it" }
+    }
+
+    @Test
+    fun `guards against a change of one section that parses or checks the others again`() {
+        val state = exampleState()
+        val change = proposal(Section.CLASSES, state.offsetOf(Section.CLASSES).value, "[classes.more]\ntier=2\nfirstTokenTargetMs=1\ntimeoutMs=9\n")
+        val next = state.apply(change, state.offset.next())
+        next.document.classes.size shouldBe 2
+        next.document.customers shouldBeSameInstanceAs state.document.customers
+        next.document.pools shouldBeSameInstanceAs state.document.pools
+        next.document.routes shouldBeSameInstanceAs state.document.routes
+        next.grants shouldBeSameInstanceAs state.grants
+    }
+
+    @Test
+    fun `guards against a change of one customer that replaces the others at 24,000 customers`() {
+        val document = parseDocument(customersText(24_000)).getOrNull()!!.document
+        val after = document.changed(Section.CUSTOMERS, listOf("[customers.customer-7]\nweight = 5\n"), emptyList()).getOrNull()!!
+        val change = diff(document, after, Section.CUSTOMERS)
+        change.changed.keys shouldBe setOf("customer-7")
+        change.removed.shouldBeEmpty()
+        document.customers.filter { (id, customer) -> after.customers[id] !== customer }.keys shouldBe setOf(CustomerId("customer-7"))
+    }
+
+    @Test
+    fun `guards against input on the stream that stops a reader`() {
+        val deep = "a = " + "[".repeat(20_000)
+        listOf(
+            "[customers.a", "x", "= 3", "customers = 3", "customers = [1, 2]", "[[customers]]", "[customers.a]\nweight = 1\n[customers.a]\n",
+            "[classes.c]\ntier=0", "[customers.a]\nweight = 99999999999999999999", "[customers.a]\nkeyHashes = [\"x\"]",
+            "[customers.\"a b\"]", "[customers.a]\nweight = 2021-99-99", "\u0000", deep, "[customers.a]\nunknown = 1",
+            "[customers.a]\nweight = inf", "a.".repeat(20_000) + "b = 1", "[customers.a]\nweight = 0x", "[customers.a]\nx = \"\\u00ZZ\"",
+        ).forAll { content ->
+            val step = ConfigurationState().step(proposal(Section.CUSTOMERS, -1, content), LogOffset(0))
+            step.outcome.shouldBeInstanceOf<Outcome.Rejected>()
+            step.state shouldBe ConfigurationState(offset = LogOffset(0))
+        }
+    }
+
+    @Test
+    fun `guards against an unknown section that is accepted`() {
+        val step = ConfigurationState().step(SectionProposed("p", "extras", -1, "o", ""), LogOffset(0))
+        step.outcome.toString() shouldContain "unknown section extras"
+    }
+}
--- /dev/null
+++ b/configuration/src/test/kotlin/org/hickorytiller/configuration/RecordCodecTest.kt
@@ -0,0 +1,48 @@
+package org.hickorytiller.configuration
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.hickorytiller.keys.hashKey
+
+class RecordCodecTest : AnnotationSpec() {
+    private val hash = hashKey("k").value
+
+    @Test
+    fun `guards against a record that changes on its way through the log`() {
+        listOf(
+            SectionProposed("p", "customers", 3, "operator", "[customers.a]\n", listOf("b"), 1, 2),
+            KeyGranted("clinic", hash, "desk"),
+            KeyWithdrawn(hash),
+            Snapshot("s", 0, 1, 7, "AA==", "00"),
+        ).forAll { decodeRecord(encodeRecord(it)) shouldBe DecodedRecord.Known(it) }
+    }
+
+    @Test
+    fun `guards against a malformed or oversized record that is evaluated or stops a reader`() {
+        val large = "{\"type\":\"KeyWithdrawn\",\"schema\":1,\"keyHash\":\"$hash\",\"x\":\"${"x".repeat(MAX_RECORD_BYTES)}\"}"
+        listOf(
+            "", " ", "null", "3", "[]", "{}", "{", "\"text\"", "{\"schema\":null}", "{\"schema\":\"1\"}", "{\"schema\":1}",
+            "{\"schema\":1.5,\"type\":\"KeyWithdrawn\"}", "{\"schema\":1,\"type\":\"Other\"}", "{\"schema\":1,\"type\":7}",
+            "{\"type\":\"KeyWithdrawn\",\"schema\":1}", "{\"type\":\"KeyWithdrawn\",\"schema\":1,\"keyHash\":\"short\"}",
+            "{\"type\":\"KeyWithdrawn\",\"schema\":1,\"keyHash\":[\"$hash\"]}", "{\"type\":\"KeyWithdrawn\",\"schema\":1,\"keyHash\":null}",
+            "{\"type\":\"KeyGranted\",\"schema\":1,\"keyHash\":\"$hash\",\"customer\":\"c\",\"label\":\"${"l".repeat(201)}\"}",
+            "{\"type\":\"SectionProposed\",\"schema\":1,\"proposalId\":\"p\",\"section\":\"customers\",\"author\":\"a\",\"content\":\"\"}".replace("\"author\"", "\"baseOffset\":\"x\",\"author\""),
+            "{\"type\":\"SectionProposed\",\"schema\":1,\"proposalId\":\"\",\"section\":\"customers\",\"baseOffset\":1,\"author\":\"a\",\"content\":\"\"}",
+            "{\"type\":\"SectionProposed\",\"schema\":1,\"proposalId\":\"p\",\"section\":\"customers\",\"baseOffset\":1,\"author\":\"a\",\"content\":\"\",\"part\":2,\"parts\":2}",
+            "{\"type\":\"Snapshot\",\"schema\":1,\"snapshotId\":\"s\",\"part\":0,\"parts\":100000,\"throughOffset\":1,\"state\":\"\",\"stateHash\":\"\"}",
+            "[".repeat(100_000), large,
+        ).forAll { decodeRecord(it.toByteArray()).shouldBeInstanceOf<DecodedRecord.Malformed>() }
+        listOf(byteArrayOf(0, 0, 0, -1), byteArrayOf(-2, -1, 0), byteArrayOf(0, 0, -2, -1, 127, 127, 127, 127), ByteArray(64) { -1 }).forAll {
+            decodeRecord(it).shouldBeInstanceOf<DecodedRecord.Malformed>()
+        }
+    }
+
+    @Test
+    fun `guards against a record of a newer format that is guessed at`() {
+        listOf("{\"schema\":2}", "{\"schema\":2,\"type\":\"KeyWithdrawn\",\"keyHash\":\"$hash\"}", "{\"schema\":0,\"type\":\"New\"}").forAll {
+            decodeRecord(it.toByteArray()).shouldBeInstanceOf<DecodedRecord.UnknownSchema>()
+        }
+    }
+}
--- a/core/src/main/kotlin/org/hickorytiller/core/SettingsReader.kt
+++ b/core/src/main/kotlin/org/hickorytiller/core/SettingsReader.kt
@@ -29,6 +29,11 @@
             val line = e.location?.lineNr ?: 0
             return listOf(SettingsFault("", "line $line: ${e.originalMessage}")).left()
         }
+    return readSettings(root, build)
+}
+
+/** Builds a value from the table [root], which has been parsed already, in the same way. */
+fun <T> readSettings(root: ObjectNode, build: (SettingsReader) -> T): Either<List<SettingsFault>, T> {
     val faults = mutableListOf<SettingsFault>()
     val reader = SettingsReader(root, "", faults)
     val value = build(reader)
@@ -80,6 +85,12 @@
         return parseAddress(text) ?: fault(name, "expected IP:PORT, found \"$text\"", InetSocketAddress(0))
     }
 
+    /** The string called [name] turned into a value; null if it is missing. [expected] says what [parse] accepts. */
+    fun <T : Any> optional(name: String, expected: String, parse: (String) -> T?): T? {
+        val node = take(name) ?: return null
+        return node.textValue()?.let(parse) ?: fault(name, "expected $expected", null)
+    }
+
     /** The list of addresses called [name]; empty if it is missing. */
     fun addresses(name: String): List<InetSocketAddress> {
         val node = take(name) ?: return emptyList()
--- /dev/null
+++ b/hickoryctl/src/main/kotlin/org/hickorytiller/hickoryctl/AdminClient.kt
@@ -0,0 +1,69 @@
+/** Client of the admin interface of one router. */
+package org.hickorytiller.hickoryctl
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.databind.JsonNode
+import org.hickorytiller.core.json
+import org.hickorytiller.core.text
+import org.hickorytiller.http.Headers
+import org.hickorytiller.http.HttpClient
+import org.hickorytiller.http.HttpStatus
+import org.hickorytiller.http.RequestHead
+import org.hickorytiller.http.Response
+import java.net.InetSocketAddress
+
+/** Why a router did not do what it was asked for. */
+data class AdminFault(val exitCode: ExitCode, val message: String)
+
+/** Client of the router whose admin interface is at [address]. */
+class AdminClient(private val client: HttpClient, private val address: InetSocketAddress, private val token: String?) {
+    /** The address as operators write it. */
+    val name: String get() = address.text()
+
+    /** Reads [path]. */
+    suspend fun get(path: String): Either<AdminFault, JsonNode> = call("GET", path, ByteArray(0))
+
+    /** Sends [body] to [path]. */
+    suspend fun post(path: String, body: String = ""): Either<AdminFault, JsonNode> =
+        call("POST", path, body.toByteArray())
+
+    private suspend fun call(method: String, path: String, body: ByteArray): Either<AdminFault, JsonNode> {
+        val headers = if (token == null) Headers.EMPTY else Headers.of("authorization" to "Bearer $token")
+        return client.call(address, RequestHead(method, path, headers), body, TIMEOUT_MS).fold(
+            { fault -> AdminFault(ExitCode.UNREACHABLE, "unreachable (${fault.name.lowercase()})").left() },
+            ::answer,
+        )
+    }
+
+    private fun answer(response: Response): Either<AdminFault, JsonNode> = try {
+        val body = json.readTree(response.body)
+        when {
+            response.status in OK_STATUS -> body.right()
+            response.status == HttpStatus.SERVICE_UNAVAILABLE -> AdminFault(
+                ExitCode.UNREACHABLE,
+                reason(response, body),
+            ).left()
+            else -> AdminFault(ExitCode.REFUSED, reason(response, body)).left()
+        }
+    } catch (_: JsonProcessingException) {
+        AdminFault(ExitCode.UNREACHABLE, "answered ${response.status} without JSON").left()
+    }
+
+    private fun reason(response: Response, body: JsonNode): String =
+        body.path("error").path("message").asText("").ifEmpty { "answered ${response.status}" }
+
+    private companion object {
+        val OK_STATUS = 200..299
+        const val TIMEOUT_MS = 3_000L
+    }
+}
+
+/** The exit code of a command that asked several routers: the worst of [faults]. */
+internal fun exitCodeOf(faults: List<AdminFault>): ExitCode = when {
+    faults.isEmpty() -> ExitCode.OK
+    faults.any { it.exitCode == ExitCode.UNREACHABLE } -> ExitCode.UNREACHABLE
+    else -> ExitCode.REFUSED
+}
--- a/hickoryctl/src/main/kotlin/org/hickorytiller/hickoryctl/ApplyCommand.kt
+++ b/hickoryctl/src/main/kotlin/org/hickorytiller/hickoryctl/ApplyCommand.kt
@@ -1,31 +1,24 @@
 /** `hickoryctl apply`: publishes the changed sections of a configuration document and reads back whether they hold. */
 package org.hickorytiller.hickoryctl
 
-import arrow.core.Either
 import arrow.core.getOrElse
-import arrow.core.left
-import arrow.core.right
-import com.fasterxml.jackson.module.kotlin.readValue
-import org.hickorytiller.configuration.CONFIGURATION_STREAM
-import org.hickorytiller.configuration.ConfigurationRecord
+import org.hickorytiller.configuration.ConfigurationDocument
 import org.hickorytiller.configuration.ConfigurationState
+import org.hickorytiller.configuration.Outcome
 import org.hickorytiller.configuration.Rejection
 import org.hickorytiller.configuration.Section
 import org.hickorytiller.configuration.SectionProposed
+import org.hickorytiller.configuration.diff
 import org.hickorytiller.configuration.parseDocument
-import org.hickorytiller.configuration.splitSections
+import org.hickorytiller.configuration.sectionProposals
+import org.hickorytiller.configuration.sectionText
 import org.hickorytiller.core.LogOffset
-import org.hickorytiller.core.json
-import org.hickorytiller.core.parseAddress
-import org.hickorytiller.platform.LogClient
-import org.hickorytiller.platform.LogFailure
 import org.kohsuke.args4j.Argument
 import org.kohsuke.args4j.Option
-import java.io.File
 import java.util.UUID
 
 /** Publishes a document. */
-class ApplyCommand : Command() {
+class ApplyCommand : RouterCommand() {
     @Argument(required = true, metaVar = "FILE", usage = "configuration document in TOML")
     var file = ""
 
@@ -35,74 +28,134 @@
     @Option(name = "--author", metaVar = "NAME", usage = "who publishes the change (default: the user's name)")
     var author: String = System.getProperty("user.name")
 
+    @Option(name = "--wait-ms", metaVar = "MS", usage = "how long to wait for the routers (default 10000)")
+    var waitMs = DEFAULT_WAIT_MS
+
     override suspend fun run(context: CommandContext): ExitCode {
-        val sections =
-            splitSections(File(file).readText()).getOrElse { faults ->
-                faults.forEach { context.printError("$file: $it") }
-                return ExitCode.REFUSED
-            }
-        parseDocument(sections).onLeft { faults ->
-            faults.forEach { context.printError("$file: $it") }
-            return ExitCode.REFUSED
+        val text = readText(file)
+        val routers = adminClients(context)
+        val stream = configurationLog(context, address("--log", log))
+        val before = stream.state().getOrElse { return context.fail(it) }
+        val parsed = parseDocument(text, before.document).getOrElse { return context.printFaults(file, it, asJson) }
+        val publication = Publication(stream, author, before, parsed.document, baseOffsets(text))
+        val results = publication.publish(Section.entries.filter { it in parsed.sections })
+        results.forEach { if (!asJson) context.print("${it.section.key}: ${it.text()}") }
+        publication.trouble?.let { context.printError(it.message) }
+        val waited = awaitRouters(routers, results.mapNotNull { it.acceptedAt }.maxOrNull())
+        waited.forEach { (router, fault) -> context.printError("router $router: ${fault.message}") }
+        if (asJson) context.printJson(jsonResult(results, publication.trouble, waited))
+        return when {
+            publication.trouble != null -> publication.trouble?.exitCode ?: ExitCode.UNREACHABLE
+            results.any { it.result !in GOOD_RESULTS } -> ExitCode.REFUSED
+            else -> exitCodeOf(waited.values.toList())
         }
-        val address = parseAddress(log) ?: return ExitCode.USAGE
-        val client = LogClient(context.client, address)
-        for ((section, content) in sections.entries.sortedBy { PUBLISHING_ORDER.indexOf(it.key) }) {
-            val outcome = publish(client, section, content).getOrElse { failure ->
-                context.printError("log: ${failure.name.lowercase()}")
-                return ExitCode.UNREACHABLE
-            }
-            context.print("${section.key}: $outcome")
-            if (!outcome.startsWith("accepted") && outcome != "unchanged") return ExitCode.REFUSED
+    }
+
+    private suspend fun awaitRouters(routers: List<AdminClient>, offset: LogOffset?): Map<String, AdminFault> =
+        if (offset == null) emptyMap() else awaitOffset(routers, offset, waitMs)
+
+    private fun jsonResult(results: List<SectionResult>, trouble: LogTrouble?, waited: Map<String, AdminFault>) = mapOf(
+        "sections" to results.associate { result ->
+            result.section.key to
+                mapOf("result" to result.result, "offset" to result.acceptedAt?.value, "detail" to result.detail)
+        },
+        "trouble" to trouble?.message,
+        "routersNotInForce" to waited.mapValues { it.value.message },
+    )
+
+    private companion object {
+        const val DEFAULT_WAIT_MS = 10_000L
+        val GOOD_RESULTS = setOf("accepted", "unchanged")
+    }
+}
+
+/** What became of one section. [result] is unchanged, accepted, conflict, invalid or not_published. */
+internal data class SectionResult(
+    val section: Section,
+    val result: String,
+    val detail: String = "",
+    val acceptedAt: LogOffset? = null,
+) {
+    fun text(): String = listOf(result, detail).filter { it.isNotEmpty() }.joinToString(": ")
+}
+
+/** Publishes the sections in which [after] differs from what is accepted. */
+internal class Publication(
+    private val stream: ConfigurationLog,
+    private val author: String,
+    private var state: ConfigurationState,
+    private val after: ConfigurationDocument,
+    private val baseOffsets: Map<Section, LogOffset>,
+) {
+    /** Why publishing stopped; null if every section was decided. */
+    var trouble: LogTrouble? = null
+        private set
+
+    private val original = state
+
+    /** Publishes [sections] in an order in which each step gives a valid document. */
+    suspend fun publish(sections: List<Section>): List<SectionResult> {
+        val results = mutableListOf<SectionResult>()
+        var open = sections
+        while (open.isNotEmpty()) {
+            // Names have to be added before they are referred to and removed after, so the order depends on the change.
+            val section = open.firstOrNull(::isValidNow) ?: open.first()
+            open = open - section
+            results += if (trouble == null) publish(section) else SectionResult(section, "not_published")
         }
-        return ExitCode.OK
+        return results.sortedBy { it.section }
     }
 
-    private suspend fun publish(client: LogClient, section: Section, content: String): Either<LogFailure, String> {
-        val before = readState(client).getOrElse { return it.left() }
-        if (before.sections[section]?.content == content) return "unchanged".right()
-        val proposal =
+    private fun isValidNow(section: Section): Boolean = refusal(section) == null
+
+    private fun refusal(section: Section): Rejection? {
+        val change = diff(state.document, after, section)
+        if (change.isEmpty) return null
+        val whole =
             SectionProposed(
-                UUID.randomUUID().toString(),
+                "check",
                 section.key,
-                before.offsetOf(section).value,
+                state.offsetOf(section).value,
                 author,
-                content,
+                sectionText(section, change.changed),
+                change.removed,
             )
-        val offset = client.append(CONFIGURATION_STREAM, json.writeValueAsBytes(proposal)).getOrElse {
-            return it.left()
-        }
-        val after = readState(client).getOrElse { return it.left() }
-        return describe(before, proposal, after, section, offset).right()
+        return state.evaluate(whole, state.offset.next()).fold({ it }, { null })
     }
 
-    private fun describe(
-        before: ConfigurationState,
-        proposal: SectionProposed,
-        after: ConfigurationState,
-        section: Section,
-        offset: LogOffset,
-    ): String = if (after.offsetOf(section) == offset) {
-        "accepted at offset $offset"
-    } else {
-        before.evaluate(proposal, offset).fold(
-            { if (it is Rejection.Invalid) "invalid: ${it.faults.joinToString("; ")}" else "conflict" },
-            { "conflict, the section is now at offset ${after.offsetOf(section)}" },
-        )
+    private suspend fun publish(section: Section): SectionResult {
+        val change = diff(state.document, after, section)
+        if (change.isEmpty) return SectionResult(section, "unchanged")
+        val base = baseOffsets[section] ?: original.offsetOf(section)
+        if (base != state.offsetOf(section)) return conflict(section, state.offsetOf(section))
+        (refusal(section) as? Rejection.Invalid)?.let { return invalid(section, it) }
+        val records = sectionProposals(UUID.randomUUID().toString(), section, base, author.take(MAX_AUTHOR), change)
+        val published =
+            stream.publish(records).getOrElse {
+                trouble = it
+                return SectionResult(section, "not_published")
+            }
+        state = published.state
+        return when (val outcome = published.outcome) {
+            is Outcome.Accepted -> SectionResult(section, "accepted", "offset ${published.offset}", published.offset)
+            is Outcome.Incomplete -> SectionResult(section, "not_published", "parts are missing on the log")
+            is Outcome.Rejected -> when (val rejection = outcome.rejection) {
+                is Rejection.Conflict -> conflict(section, rejection.currentOffset)
+                is Rejection.Invalid -> invalid(section, rejection)
+            }
+        }
     }
 
-    private companion object {
-        val PUBLISHING_ORDER =
-            listOf(Section.CUSTOMERS, Section.CLASSES, Section.BACKEND_SERVERS, Section.BUDGETS, Section.ROUTES)
-    }
-}
+    private fun conflict(section: Section, current: LogOffset) = SectionResult(
+        section,
+        "conflict",
+        "another change was accepted at offset $current; look at it with `hickoryctl diff` and apply again",
+    )
+
+    private fun invalid(section: Section, rejection: Rejection.Invalid) =
+        SectionResult(section, "invalid", rejection.faults.joinToString("; "))
 
-/** Reads the stream to its end and evaluates it. */
-internal suspend fun readState(client: LogClient): Either<LogFailure, ConfigurationState> {
-    var state = ConfigurationState()
-    while (true) {
-        val page = client.read(CONFIGURATION_STREAM, state.offset.next(), 0).getOrElse { return it.left() }
-        page.records.forEach { state = state.apply(json.readValue<ConfigurationRecord>(it.data), it.offset) }
-        if (state.offset.next() >= page.end) return state.right()
+    private companion object {
+        const val MAX_AUTHOR = 200
     }
 }
--- /dev/null
+++ b/hickoryctl/src/main/kotlin/org/hickorytiller/hickoryctl/ConfigurationLog.kt
@@ -0,0 +1,118 @@
+/**
+ * Publishes records on the configuration stream and reads back what became of them. A lost answer is settled by
+ * reading the stream, never by guessing.
+ */
+package org.hickorytiller.hickoryctl
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.delay
+import org.hickorytiller.configuration.CONFIGURATION_STREAM
+import org.hickorytiller.configuration.ConfigurationReader
+import org.hickorytiller.configuration.ConfigurationRecord
+import org.hickorytiller.configuration.ConfigurationState
+import org.hickorytiller.configuration.DecodedRecord
+import org.hickorytiller.configuration.Outcome
+import org.hickorytiller.configuration.ReadStep
+import org.hickorytiller.configuration.StoredRecord
+import org.hickorytiller.configuration.encodeRecord
+import org.hickorytiller.core.LogOffset
+import org.hickorytiller.platform.Append
+import org.hickorytiller.platform.LogFailure
+import org.hickorytiller.platform.Read
+
+/** Why the stream could not be read or written; [message] is for the operator. */
+data class LogTrouble(val exitCode: ExitCode, val message: String)
+
+/** What became of records that were published together, and the offset at which that was decided. */
+data class Published(val offset: LogOffset, val outcome: Outcome, val state: ConfigurationState)
+
+/** The configuration stream, read from the beginning by one run of hickoryctl. */
+class ConfigurationLog(private val append: Append, private val read: Read) {
+    private val reader = ConfigurationReader()
+    private val steps = mutableListOf<ReadStep>()
+
+    /** Reads the stream to its end and returns the accepted configuration. */
+    suspend fun state(): Either<LogTrouble, ConfigurationState> {
+        while (true) {
+            val page =
+                read(CONFIGURATION_STREAM, reader.next, 0).getOrElse {
+                    return LogTrouble(ExitCode.UNREACHABLE, "the log cannot be read: ${describe(it)}").left()
+                }
+            val records = page.records.map { StoredRecord(it.offset, it.data) }
+            reader.onPage(page.earliest, page.end, records) { steps += it }
+            reader.stopped?.let {
+                val message = "record ${it.offset} has the unknown schema ${it.schema}; use a newer hickoryctl"
+                return LogTrouble(ExitCode.REFUSED, message).left()
+            }
+            val state = reader.state
+            if (reader.caughtUp && state != null) return state.right()
+            if (reader.next >= page.end) {
+                return LogTrouble(
+                    ExitCode.UNREACHABLE,
+                    "the log retains no complete snapshot yet; try again later",
+                ).left()
+            }
+        }
+    }
+
+    /**
+     * Publishes [records], which are decided together, and reads back what became of them. [state] has to be read
+     * before.
+     */
+    suspend fun publish(records: List<ConfigurationRecord>): Either<LogTrouble, Published> {
+        steps.clear()
+        records.forEach { record -> appendSettled(record).onLeft { return it.left() } }
+        state().onLeft { return it.copy(message = "published, but not confirmed: ${it.message}").left() }
+        val step = steps.firstOrNull { it.outcome != Outcome.Incomplete && recordOf(it) in records }
+        if (step != null) return Published(step.offset, step.outcome, step.state).right()
+        return LogTrouble(ExitCode.UNREACHABLE, "published, but the log dropped it before it could be read back").left()
+    }
+
+    /**
+     * Appends [record], which may safely be on the stream twice, without reading it back. Returns the offset of the
+     * append that was confirmed.
+     */
+    suspend fun appendRepeatable(record: ConfigurationRecord): Either<LogTrouble, LogOffset> {
+        var failure = LogFailure.UNAVAILABLE
+        repeat(ATTEMPTS) { attempt ->
+            failure = append(CONFIGURATION_STREAM, encodeRecord(record)).fold({ it }, { return it.right() })
+            if (failure == LogFailure.TOO_LARGE) return tooLarge().left()
+            if (attempt < ATTEMPTS - 1) delay(RETRY_DELAY_MS shl attempt)
+        }
+        return LogTrouble(ExitCode.UNREACHABLE, "the log does not accept records: ${describe(failure)}").left()
+    }
+
+    private suspend fun appendSettled(record: ConfigurationRecord): Either<LogTrouble, Unit> {
+        var failure = LogFailure.UNAVAILABLE
+        var mayBeThere = false
+        repeat(ATTEMPTS) { attempt ->
+            failure = append(CONFIGURATION_STREAM, encodeRecord(record)).fold({ it }, { return Unit.right() })
+            if (failure == LogFailure.TOO_LARGE) return tooLarge().left()
+            if (failure != LogFailure.UNAVAILABLE) mayBeThere = true
+            // Appending again is safe even if the first append is still on its way: the first copy decides.
+            if (mayBeThere && state().isRight() && steps.any { recordOf(it) == record }) return Unit.right()
+            if (attempt < ATTEMPTS - 1) delay(RETRY_DELAY_MS shl attempt)
+        }
+        val doubt = if (mayBeThere) "; it may still take effect, so look with `hickoryctl show` first" else ""
+        return LogTrouble(ExitCode.UNREACHABLE, "the log did not confirm the record: ${describe(failure)}$doubt").left()
+    }
+
+    private fun recordOf(step: ReadStep): ConfigurationRecord? = (step.decoded as? DecodedRecord.Known)?.record
+
+    private fun tooLarge() = LogTrouble(ExitCode.REFUSED, "an entry is too large for a record of the log (256 KiB)")
+
+    private fun describe(failure: LogFailure) = when (failure) {
+        LogFailure.UNAVAILABLE -> "it is out of service or over its rate"
+        LogFailure.UNKNOWN -> "the answer was lost"
+        LogFailure.TOO_LARGE -> "the record is too large"
+        LogFailure.MALFORMED -> "the answer is malformed"
+    }
+
+    private companion object {
+        const val ATTEMPTS = 4
+        const val RETRY_DELAY_MS = 200L
+    }
+}
--- a/router/src/main/kotlin/org/hickorytiller/router/ConfigurationTask.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/ConfigurationTask.kt
@@ -1,51 +1,173 @@
-/** Follows the configuration stream and puts each accepted change into force in this router. */
+/**
+ * Follows the configuration stream and puts each accepted change into force in this router. While the log is down it
+ * takes the configuration from peers. The configuration in force never goes back to a lower offset.
+ */
 package org.hickorytiller.router
 
-import com.fasterxml.jackson.core.JsonProcessingException
-import com.fasterxml.jackson.module.kotlin.readValue
+import arrow.core.getOrElse
 import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
 import org.hickorytiller.configuration.CONFIGURATION_STREAM
+import org.hickorytiller.configuration.ConfigurationReader
 import org.hickorytiller.configuration.ConfigurationRecord
 import org.hickorytiller.configuration.ConfigurationState
-import org.hickorytiller.core.json
+import org.hickorytiller.configuration.DecodedRecord
+import org.hickorytiller.configuration.KeyGranted
+import org.hickorytiller.configuration.KeyWithdrawn
+import org.hickorytiller.configuration.Outcome
+import org.hickorytiller.configuration.ReadStep
+import org.hickorytiller.configuration.Section
+import org.hickorytiller.configuration.SectionProposed
+import org.hickorytiller.configuration.Snapshot
+import org.hickorytiller.configuration.StateTransfer
+import org.hickorytiller.configuration.StoredRecord
+import org.hickorytiller.configuration.UnknownSchema
+import org.hickorytiller.configuration.decodeTransfer
+import org.hickorytiller.configuration.encodeTransfer
+import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.KeyHash
+import org.hickorytiller.core.LogOffset
 import org.hickorytiller.keys.KeyRegistry
-import org.hickorytiller.platform.LogRecord
+import org.hickorytiller.platform.LogFailure
+import org.hickorytiller.platform.LogPage
 import org.hickorytiller.platform.Read
-import org.hickorytiller.platform.followStream
+
+/**
+ * Asks peers for a configuration with a higher offset than the given one, in the form of
+ * [ConfigurationTask.encodeForPeer]. Returns null if no peer has one or none answers.
+ */
+internal typealias FetchFromPeers = suspend (LogOffset) -> ByteArray?
 
 /** The configuration in force in this router. Confined to the event loop. */
-internal class ConfigurationTask(private val read: Read, private val keys: KeyRegistry) {
-    /** The accepted configuration. */
-    var state = ConfigurationState()
-        private set
+internal class ConfigurationTask(
+    private val read: Read,
+    private val keys: KeyRegistry,
+    private val fetchFromPeers: FetchFromPeers = { null },
+) {
+    private val reader = ConfigurationReader()
+    private var seenJumps = 0
+    private var retryDelayMs = FIRST_DELAY_MS
 
-    /** Whether the end of the stream has been reached once, so that requests can be judged. */
+    /** The accepted configuration; an empty one until it is known. */
+    val state: ConfigurationState get() = reader.state ?: NOTHING
+
+    /**
+     * Whether a configuration is known, so that requests can be judged: the end of the stream has been reached once,
+     * or a peer has given its state.
+     */
     var ready = false
         private set
 
+    /** Whether the last read of the log succeeded. */
+    var logReachable = false
+        private set
+
+    /** The record of an unknown schema at which this router stopped following the stream; null while it follows. */
+    val stopped: UnknownSchema? get() = reader.stopped
+
+    /** Number of malformed or oversized records that were skipped. */
+    val skippedRecords: Long get() = reader.skippedRecords
+
+    /** Keys that were withdrawn directly, in the order of the withdrawals, and that the log does not know as such. */
+    val withdrawalsNotOnLog: List<KeyHash>
+        get() = keys.withdrawnHashes().filter { it !in state.withdrawn }
+
+    /** The configuration in force and the direct withdrawals, for a peer that starts while the log is down. */
+    fun encodeForPeer(): ByteArray = encodeTransfer(StateTransfer(state, withdrawalsNotOnLog.toSet()))
+
     /** Follows the stream; does not return. */
-    suspend fun run(): Nothing = followStream(read, CONFIGURATION_STREAM, state.offset.next()) { page ->
-        page.records.forEach(::apply)
-        if (state.offset.next() >= page.end && !ready) {
-            ready = true
-            log.info { "configuration is in force at offset ${state.offset}" }
+    suspend fun run(): Nothing {
+        // Withdrawals that the log does not know yet have to be known before the first request is judged.
+        askPeers(LogOffset.NONE)?.withdrawnDirectly?.forEach(keys::withdraw)
+        while (true) {
+            read(CONFIGURATION_STREAM, reader.next, POLL_WAIT_MS).fold({ onFailure(it) }, { onPage(it) })
+            if (stopped != null) awaitCancellation()
         }
     }
 
-    private fun apply(record: LogRecord) {
-        val message =
-            try {
-                json.readValue<ConfigurationRecord>(record.data)
-            } catch (e: JsonProcessingException) {
-                log.warn { "configuration record ${record.offset} is malformed: ${e.originalMessage}" }
-                return
-            }
-        state = state.apply(message, record.offset)
-        keys.replaceGrants(state.activeKeys())
+    private suspend fun onFailure(failure: LogFailure) {
+        if (logReachable) log.warn { "the log cannot be read: $failure; configuration ${state.offset} stays in force" }
+        logReachable = false
+        askPeers(reader.state?.offset ?: LogOffset.NONE)?.let(::adopt)
+        delay(retryDelayMs)
+        retryDelayMs = (retryDelayMs * 2).coerceAtMost(LAST_DELAY_MS)
+    }
+
+    private suspend fun onPage(page: LogPage) {
+        logReachable = true
+        retryDelayMs = FIRST_DELAY_MS
+        if (page.end < reader.next) log.error { "the log ends at ${page.end}, before ${reader.next} that was read" }
+        reader.onPage(page.earliest, page.end, page.records.map { StoredRecord(it.offset, it.data) }, ::enforce)
+        enforceJump()
+        stopped?.let { log.error { "configuration record ${it.offset} has the unknown schema ${it.schema}" } }
+        if (reader.caughtUp) becomeReady("the log")
+        // An answer without progress must not turn into a loop without a pause.
+        if (page.records.isEmpty() && reader.next < page.end) delay(FIRST_DELAY_MS)
+    }
+
+    private suspend fun askPeers(known: LogOffset): StateTransfer? {
+        val bytes = withTimeoutOrNull(PEER_TIMEOUT_MS) { fetchFromPeers(known) } ?: return null
+        return decodeTransfer(bytes).getOrElse { fault ->
+            log.warn { "a peer's configuration is unusable: $fault" }
+            null
+        }
+    }
+
+    private fun adopt(transfer: StateTransfer) {
+        transfer.withdrawnDirectly.forEach(keys::withdraw)
+        if (!reader.adopt(transfer.state)) return
+        enforceJump()
+        becomeReady("a peer")
+    }
+
+    private fun becomeReady(source: String) {
+        if (ready) return
+        ready = true
+        log.info { "configuration ${state.offset} from $source is in force" }
+    }
+
+    private fun enforceJump() {
+        if (reader.jumps == seenJumps) return
+        seenJumps = reader.jumps
         state.withdrawn.forEach(keys::withdraw)
+        keys.replaceGrants(state.activeKeys())
+    }
+
+    private fun enforce(step: ReadStep) {
+        when (val decoded = step.decoded) {
+            is DecodedRecord.Malformed -> log.warn { "configuration record ${step.offset} skipped: ${decoded.reason}" }
+            is DecodedRecord.Known -> if (step.outcome == Outcome.Accepted) enforce(decoded.record, step.state)
+            is DecodedRecord.UnknownSchema -> Unit
+        }
+    }
+
+    private fun enforce(record: ConfigurationRecord, after: ConfigurationState) = when (record) {
+        is KeyWithdrawn -> {
+            keys.withdraw(KeyHash(record.keyHash))
+            Unit
+        }
+        is KeyGranted -> keys.grant(KeyHash(record.keyHash), CustomerId(record.customer))
+        // Only the customers section names keys, and going over all keys takes milliseconds at 24,000 customers.
+        is SectionProposed -> if (record.section ==
+            Section.CUSTOMERS.key
+        ) {
+            keys.replaceGrants(after.activeKeys())
+        } else {
+            Unit
+        }
+        is Snapshot -> Unit
     }
 
     private companion object {
         val log = KotlinLogging.logger {}
+        val NOTHING = ConfigurationState()
+        const val POLL_WAIT_MS = 1_000L
+        const val FIRST_DELAY_MS = 100L
+        const val LAST_DELAY_MS = 1_000L
+
+        /** A peer's state is about 2 MB at 24,000 customers, which takes well under a second between two hosts. */
+        const val PEER_TIMEOUT_MS = 2_000L
     }
 }
--- a/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
@@ -4,14 +4,17 @@
 import arrow.core.Either
 import org.hickorytiller.core.FailureDomain
 import org.hickorytiller.core.HostId
+import org.hickorytiller.core.KeyHash
 import org.hickorytiller.core.SettingsFault
 import org.hickorytiller.core.readSettings
+import org.hickorytiller.keys.parseKeyHash
 import java.net.InetSocketAddress
 
 /**
  * @property callerAddress where callers connect
  * @property adminAddress where operators connect
  * @property peerAddress where peers connect
+ * @property operatorTokenHash SHA-256 of the token of operators; null admits connections from this host only
  */
 data class RouterSettings(
     val host: HostId,
@@ -23,6 +26,7 @@
     val orderAddress: InetSocketAddress,
     val hostListAddress: InetSocketAddress,
     val addressLifetimeMs: Long,
+    val operatorTokenHash: KeyHash? = null,
 ) {
     companion object {
         /** Reads the settings from TOML, or lists every fault. */
@@ -38,6 +42,11 @@
                 orderAddress = platform.address("orderAddress"),
                 hostListAddress = platform.address("hostListAddress"),
                 addressLifetimeMs = it.long("addressLifetimeMs", 1_000L..600_000L, default = 10_000),
+                operatorTokenHash = it.optional(
+                    "operatorTokenHash",
+                    "a SHA-256 hash in lower-case hexadecimal",
+                    ::parseKeyHash,
+                ),
             )
         }
     }
