Plan backend server orders and send them with a lease check after 100 Continue

Cause: nothing ordered servers yet, and no client kept apart an order that was not sent from one that may have run.

Ruled out: a check only before connecting (a pause after it is unbounded); relying on the platform to recognise an order id (the stand-in no longer does, so a repeated order shows as a second server); a central budget counter (the order of the intents on the stream decides which of two holders' orders fits the budget).

Change: CheckedSender with verdicts (NotSent, Refused, Taken, Unknown) and order, usage report and engine order clients; sendWhileHeld in core; OrderLedger, OrderPlanner, engine orders. The order of a server is listed with the server. The stand-ins give outages, raw answers, start and stop delays and count incomplete requests.

--- /dev/null
+++ b/orders/src/main/kotlin/org/hickorytiller/orders/EngineOrders.kt
@@ -0,0 +1,35 @@
+/** Decides which engines have to load a model or change role. */
+package org.hickorytiller.orders
+
+import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerState
+
+/**
+ * The engine orders for the [servers] that run and have not been ordered to what their pool's policy says, at most
+ * [maxLoads] of them loading a model, since the weight store is limited.
+ */
+fun planEngineOrders(
+    servers: List<BackendServer>,
+    policies: List<PoolPolicy>,
+    ledger: OrderLedger,
+    maxLoads: Int,
+): List<PlannedOrder> {
+    val open = ledger.openIntents().map { it.intent.backendServer to it.intent.action }.toSet()
+    val orders =
+        servers.filter { it.state == BackendServerState.RUNNING }.flatMap { server ->
+            val policy = policies.firstOrNull { it.pool == server.pool }
+            listOfNotNull(
+                policy?.model?.takeIf { it != ledger.loadedModel(server.id) }?.let {
+                    engineOrder(server, OrderAction.LOAD_MODEL, it)
+                },
+                policy?.role?.takeIf { it != ledger.role(server.id) }?.let {
+                    engineOrder(server, OrderAction.CHANGE_ROLE, it)
+                },
+            ).filter { (server.id.value to it.action) !in open }
+        }
+    val (loads, others) = orders.partition { it.action == OrderAction.LOAD_MODEL }
+    return others + loads.take(maxLoads.coerceAtLeast(0))
+}
+
+private fun engineOrder(server: BackendServer, action: OrderAction, subject: String) =
+    PlannedOrder(action, server.pool, server.failureDomain, server.reclaimable, server.id, subject)
--- /dev/null
+++ b/orders/src/main/kotlin/org/hickorytiller/orders/OrderPlan.kt
@@ -0,0 +1,95 @@
+/** What the planner works on and what it gives. */
+package org.hickorytiller.orders
+
+import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.ClassId
+import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.Tier
+import org.hickorytiller.core.TimeMs
+
+/**
+ * Limits of one pool.
+ *
+ * @property maxCentsPerHour limit of the cost of the servers that run
+ * @property model model that the engines of the pool have to load; null for plain services
+ * @property role role that the engines have to take; null if they keep theirs
+ */
+data class PoolPolicy(
+    val pool: PoolId,
+    val maxCentsPerHour: Long,
+    val centsPerServerHour: Long,
+    val centsPerReclaimableServerHour: Long,
+    val minServers: Int,
+    val maxServers: Int,
+    val model: String? = null,
+    val role: String? = null,
+) {
+    /** The cost of one server in cents per hour. */
+    fun centsPerHour(reclaimable: Boolean) = if (reclaimable) centsPerReclaimableServerHour else centsPerServerHour
+}
+
+/** Demand of a class on a pool: [busySlots] is the mean number of requests that run or could run at once. */
+data class ClassDemand(val classId: ClassId, val tier: Tier, val pool: PoolId, val busySlots: Double)
+
+/** Gives the current demand. */
+typealias ReadDemand = () -> List<ClassDemand>
+
+/**
+ * @property targetUtilisation share of the slots that the demand may take up; the rest absorbs bursts
+ * @property protectedTier demand of this tier and higher ones has to survive the eviction of any failure domain
+ * @property evictionHeadroom share of the largest loss by an eviction that is held in reserve for lower tiers
+ * @property scaleUpHoldMs time for which more servers have to be wanted before some are ordered
+ * @property idleHoldMs time for which fewer servers have to be wanted before one is stopped
+ * @property offerHoldMs time for which an offer is not asked for again after a refusal
+ * @property evictionHoldMs time for which no reclaimable server is ordered in a failure domain after a reclaim notice
+ * @property startTimeoutMs time after which a starting server no longer counts as capacity
+ * @property maxConcurrentStarts number of servers that may load weights at once, given by the rate of the weight store
+ * @property defaultSlots slots of a server of a pool in which none runs yet
+ */
+data class PlannerSettings(
+    val targetUtilisation: Double = 0.7,
+    val protectedTier: Tier = Tier(0),
+    val evictionHeadroom: Double = 0.5,
+    val scaleUpHoldMs: Long = 5_000,
+    val idleHoldMs: Long = 300_000,
+    val offerHoldMs: Long = 60_000,
+    val evictionHoldMs: Long = 60_000,
+    val startTimeoutMs: Long = 600_000,
+    val maxConcurrentStarts: Int = 4,
+    val defaultSlots: Int = 8,
+)
+
+/** What is known at [now]. [servers] carry the id of their order if there is one. */
+data class PlannerInput(
+    val now: TimeMs,
+    val policies: List<PoolPolicy>,
+    val demand: List<ClassDemand>,
+    val servers: List<OrderedServer>,
+    val openIntents: List<LedgerEntry>,
+    val failureDomains: List<FailureDomain>,
+    val unavailableOffers: Set<Offer>,
+)
+
+/** A backend server and the order that started it. */
+data class OrderedServer(val server: BackendServer, val orderId: OrderId?)
+
+/** An order that the planner wants to be placed in [failureDomain]. */
+data class PlannedOrder(
+    val action: OrderAction,
+    val pool: PoolId,
+    val failureDomain: FailureDomain,
+    val reclaimable: Boolean,
+    val backendServer: BackendServerId? = null,
+    val subject: String = "",
+)
+
+/** Why a pool gets fewer servers than it wants. */
+enum class Shortfall { BUDGET, MAX_SERVERS, NO_OFFER, WEIGHT_STORE }
+
+/** Number of servers that a pool has and wants, and what keeps it from getting them. */
+data class PoolPlan(val pool: PoolId, val have: Int, val target: Int, val shortfall: Shortfall?)
+
+/** The orders to place, most urgent first, and the state of each pool. */
+data class Plan(val orders: List<PlannedOrder>, val pools: List<PoolPlan>)
--- /dev/null
+++ b/orders/src/main/kotlin/org/hickorytiller/orders/PoolDraft.kt
@@ -0,0 +1,133 @@
+/** Orders of one pool while they are being drawn up, within its budget and the offers of the platform. */
+package org.hickorytiller.orders
+
+import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerState
+import org.hickorytiller.core.FailureDomain
+
+/** Draft for the pool of [policy] with its [servers] and the starts that are [pending]. */
+internal class PoolDraft(
+    private val policy: PoolPolicy,
+    servers: List<BackendServer>,
+    pending: List<OrderIntent>,
+    private val starts: StartAllowance,
+    private val offers: List<Offer>,
+) {
+    private val stoppable = servers.toMutableList()
+    private val placed =
+        (
+            servers.map { Offer(it.failureDomain, it.reclaimable) } +
+                pending.flatMap { intent ->
+                    List(intent.count) { Offer(FailureDomain(intent.failureDomain), intent.reclaimable) }
+                }
+            ).toMutableList()
+    private val have = placed.size
+    private var target = have
+    private var shortfall: Shortfall? = null
+
+    val orders = mutableListOf<PlannedOrder>()
+
+    /** Orders what is missing to [servers] servers, [regular] of them not reclaimable, or stops what is too much. */
+    fun reach(servers: Int, regular: Int) {
+        target = servers
+        while (cost() > policy.maxCentsPerHour && stopOne(regular)) shortfall = Shortfall.BUDGET
+        var starting = true
+        while (starting && placed.size < servers) starting = startOne(regular)
+        if (shortfall == null && placed.size >= servers) exchangeForRegular(regular)
+        // One server at a time, so that its load is seen on the others before the next one goes.
+        if (have > servers && orders.isEmpty()) stopOne(regular)
+    }
+
+    /** Stops [servers] that did not come up in time; they cost money and no longer count as capacity. */
+    fun giveUp(servers: List<BackendServer>) {
+        orders +=
+            servers.map { PlannedOrder(OrderAction.STOP, policy.pool, it.failureDomain, it.reclaimable, it.id) }
+    }
+
+    fun plan() = PoolPlan(policy.pool, have, target, shortfall)
+
+    private fun cost() = placed.sumOf { policy.centsPerHour(it.reclaimable) }
+
+    private fun regularCount() = placed.count { !it.reclaimable }
+
+    private fun exchangeForRegular(regular: Int) {
+        if (regularCount() >= regular || placed.size >= policy.maxServers) return
+        bestOffer(reclaimable = false)?.let { start(it) }
+    }
+
+    private fun startOne(regular: Int): Boolean {
+        val preferReclaimable = regularCount() >= regular
+        val choices =
+            listOf(preferReclaimable, !preferReclaimable).mapNotNull { reclaimable -> bestOffer(reclaimable) }
+        if (choices.isEmpty()) return fail(Shortfall.NO_OFFER)
+        val affordable = choices.firstOrNull { cost() + policy.centsPerHour(it.reclaimable) <= policy.maxCentsPerHour }
+        return if (affordable == null) fail(Shortfall.BUDGET) else start(affordable)
+    }
+
+    private fun start(offer: Offer): Boolean {
+        if (cost() + policy.centsPerHour(offer.reclaimable) > policy.maxCentsPerHour) return fail(Shortfall.BUDGET)
+        if (!starts.take()) return fail(Shortfall.WEIGHT_STORE)
+        placed += offer
+        orders += PlannedOrder(OrderAction.START, policy.pool, offer.failureDomain, offer.reclaimable)
+        return true
+    }
+
+    private fun fail(reason: Shortfall): Boolean {
+        shortfall = reason
+        return false
+    }
+
+    // The failure domain with the fewest servers of the kind, so that an eviction takes as few as possible.
+    private fun bestOffer(reclaimable: Boolean): Offer? = offers.filter { it.reclaimable == reclaimable }.minWithOrNull(
+        compareBy(
+            { offer -> placed.count { it == offer } },
+            { offer -> placed.count { it.failureDomain == offer.failureDomain } },
+            { it.failureDomain.value },
+        ),
+    )
+
+    private fun stopOne(regular: Int): Boolean {
+        val surplusRegular = regularCount() > regular
+        val server =
+            stoppable.minWithOrNull(
+                compareBy(
+                    { if (it.reclaimable == !surplusRegular) 0 else 1 },
+                    { if (it.state == BackendServerState.STARTING) 0 else 1 },
+                    { candidate -> -placed.count { it.failureDomain == candidate.failureDomain } },
+                    { it.id.value },
+                ),
+            ) ?: return false
+        stoppable -= server
+        placed -= Offer(server.failureDomain, server.reclaimable)
+        orders += PlannedOrder(OrderAction.STOP, policy.pool, server.failureDomain, server.reclaimable, server.id)
+        return true
+    }
+}
+
+/**
+ * Whether the start of [entry] keeps its pool within its limits, given the [servers] that run and the intents before it
+ * on the stream. The holders of different failure domains plan at the same time; the order of the stream decides which
+ * of their intents fit.
+ */
+fun fitsLimits(
+    entry: LedgerEntry,
+    policy: PoolPolicy,
+    servers: List<OrderedServer>,
+    openIntents: List<LedgerEntry>,
+): Boolean {
+    val listedOrders = servers.mapNotNull { it.orderId }.toSet()
+    val running =
+        servers.map { it.server }.filter { it.pool == policy.pool && it.state != BackendServerState.LEAVING }
+    val before =
+        openIntents.filter {
+            it.offset <= entry.offset &&
+                it.intent.action == OrderAction.START &&
+                it.intent.pool == policy.pool.value &&
+                OrderId(it.intent.orderId) !in listedOrders
+        }
+    val count = running.size + before.sumOf { it.intent.count }
+    val cents =
+        running.sumOf { policy.centsPerHour(it.reclaimable) } +
+            before.sumOf { it.intent.count * policy.centsPerHour(it.intent.reclaimable) }
+    return count <= policy.maxServers && cents <= policy.maxCentsPerHour
+}
--- a/standins/src/main/kotlin/org/hickorytiller/standins/LogStandIn.kt
+++ b/standins/src/main/kotlin/org/hickorytiller/standins/LogStandIn.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hickorytiller.core.json
+import org.hickorytiller.http.Headers
 import org.hickorytiller.http.HttpLimits
 import org.hickorytiller.http.HttpServer
 import org.hickorytiller.http.RequestHead
@@ -18,12 +19,19 @@
 import java.net.InetSocketAddress
 import java.util.Base64
 
-/** Faults and limits of the log that a test may change while it runs. */
+/**
+ * Faults and limits of the log that a test may change while it runs.
+ *
+ * @property rawAnswers answers to appends that are sent as they are, after the append took effect, one for each append
+ * @property rawPages answers to reads that are sent as they are, one for each read
+ */
 data class LogControl(
     val outage: Boolean = false,
     val loseAnswers: Int = 0,
     val appendsPerSecond: Int = 500,
     val retainedRecords: Int = 1_000_000,
+    val rawAnswers: List<String> = emptyList(),
+    val rawPages: List<String> = emptyList(),
 )
 
 /** The log stand-in. Confined to one event loop. */
@@ -74,7 +82,9 @@
             control = control.copy(loseAnswers = control.loseAnswers - 1)
             return false
         }
-        return connection.respondJson(200, mapOf("offset" to offset))
+        val raw = control.rawAnswers.firstOrNull() ?: return connection.respondJson(200, mapOf("offset" to offset))
+        control = control.copy(rawAnswers = control.rawAnswers.drop(1))
+        return connection.respond(200, Headers.EMPTY, raw.toByteArray())
     }
 
     private suspend fun read(connection: ServerConnection, name: String, head: RequestHead): Boolean {
@@ -84,6 +94,10 @@
         val max = head.query("max")?.toIntOrNull() ?: DEFAULT_MAX
         if (from >= stream.end) withTimeoutOrNull(waitMs) { stream.changed.await() }
         if (control.outage) return connection.respondJson(503, mapOf("error" to "out of service"))
+        control.rawPages.firstOrNull()?.let { raw ->
+            control = control.copy(rawPages = control.rawPages.drop(1))
+            return connection.respond(200, Headers.EMPTY, raw.toByteArray())
+        }
         val records =
             stream.from(from, max).map { (offset, data) ->
                 mapOf("offset" to offset, "data" to Base64.getEncoder().encodeToString(data))
--- a/standins/src/main/kotlin/org/hickorytiller/standins/OrderingStandIn.kt
+++ b/standins/src/main/kotlin/org/hickorytiller/standins/OrderingStandIn.kt
@@ -4,10 +4,12 @@
  */
 package org.hickorytiller.standins
 
+import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.module.kotlin.readValue
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CoroutineScope
 import org.hickorytiller.core.json
+import org.hickorytiller.http.Headers
 import org.hickorytiller.http.HttpLimits
 import org.hickorytiller.http.HttpServer
 import org.hickorytiller.http.RequestHead
@@ -24,9 +26,10 @@
     val state: String,
     val slots: Int,
     val reclaimable: Boolean,
+    val orderId: String? = null,
 )
 
-/** An order as the interface takes it. [action] is `start` or `stop`. */
+/** An order as the interface takes it. [action] is `start` or `stop`, [count] the number of servers to start. */
 data class PlacedOrder(
     val orderId: String,
     val action: String,
@@ -34,6 +37,7 @@
     val failureDomain: String = "",
     val backendServer: String = "",
     val reclaimable: Boolean = false,
+    val count: Int = 1,
     val fencingToken: Long = -1,
     val sender: String = "",
 )
@@ -44,11 +48,19 @@
  * @property loseAnswers number of orders that take effect without an answer
  * @property unavailableDomains failure domains in which no reclaimable server is on offer
  * @property reclaimDomain failure domain whose reclaimable servers get notice now
+ * @property outage whether every request but the control is refused with 503
+ * @property rawAnswers answers to orders that are sent as they are, after the order took effect, one for each order
+ * @property startDelayMs time for which a new server is listed as starting
+ * @property stopDelayMs time for which a stopped server is listed as leaving
  */
 data class OrderingControl(
     val loseAnswers: Int = 0,
     val unavailableDomains: List<String> = emptyList(),
     val reclaimDomain: String? = null,
+    val outage: Boolean = false,
+    val rawAnswers: List<String> = emptyList(),
+    val startDelayMs: Long = 0,
+    val stopDelayMs: Long = 0,
 )
 
 /**
@@ -57,6 +69,7 @@
  */
 class OrderingStandIn(
     private val incompleteRequestTimeoutMs: Long = 2_000,
+    private val clockMs: () -> Long = System::currentTimeMillis,
     private val startServer: (PlacedOrder) -> ListedBackendServer?,
 ) {
     /** Faults in force. */
@@ -68,6 +81,13 @@
     /** All orders that took effect, in order. */
     val orders = mutableListOf<PlacedOrder>()
 
+    /** Requests that were closed because their body did not arrive in time. */
+    var incompleteRequests = 0
+        private set
+
+    private val runningAtMs = HashMap<String, Long>()
+    private val goneAtMs = HashMap<String, Long>()
+
     /** Starts serving on [address]. */
     fun start(group: EventLoopGroup, scope: CoroutineScope, address: InetSocketAddress): HttpServer =
         HttpServer.start(group, scope, address, HttpLimits(bodyTimeoutMs = incompleteRequestTimeoutMs), ::serve)
@@ -76,18 +96,38 @@
         while (true) {
             val head = connection.receive().getOrNull() ?: return
             if (head.headers["expect"] != null) connection.sendContinue()
-            val body = connection.receiveBody().getOrNull() ?: return
+            val body = connection.receiveBody().getOrNull()
+            if (body == null) {
+                incompleteRequests++
+                return
+            }
             if (!answer(connection, head, body)) return
         }
     }
 
-    private suspend fun answer(connection: ServerConnection, head: RequestHead, body: ByteArray): Boolean =
-        when (head.path) {
-            "/backend-servers" -> connection.respondJson(200, servers.values)
-            "/orders" -> if (head.method == "GET") connection.respondJson(200, orders) else place(connection, body)
-            "/control" -> changeControl(connection, body)
-            else -> connection.respondJson(404, mapOf("error" to "not found"))
+    private suspend fun answer(connection: ServerConnection, head: RequestHead, body: ByteArray): Boolean = when {
+        head.path == "/control" -> changeControl(connection, body)
+        control.outage -> connection.respondJson(503, mapOf("error" to "out of service"))
+        head.path == "/backend-servers" -> {
+            updateStates()
+            connection.respondJson(200, servers.values)
+        }
+        head.path == "/orders" && head.method == "GET" -> connection.respondJson(200, orders)
+        head.path == "/orders" -> place(connection, body)
+        else -> connection.respondJson(404, mapOf("error" to "not found"))
+    }
+
+    private fun updateStates() {
+        val nowMs = clockMs()
+        runningAtMs.filterValues { it <= nowMs }.keys.toList().forEach { id ->
+            runningAtMs.remove(id)
+            servers.computeIfPresent(id) { _, server -> server.copy(state = "running") }
+        }
+        goneAtMs.filterValues { it <= nowMs }.keys.toList().forEach { id ->
+            goneAtMs.remove(id)
+            servers.remove(id)
         }
+    }
 
     private suspend fun changeControl(connection: ServerConnection, body: ByteArray): Boolean {
         control = json.readValue(body)
@@ -102,22 +142,47 @@
     }
 
     private suspend fun place(connection: ServerConnection, body: ByteArray): Boolean {
-        val order = json.readValue<PlacedOrder>(body)
-        if (orders.any { it.orderId == order.orderId }) {
-            return connection.respondJson(200, mapOf("status" to "already placed"))
-        }
+        val order =
+            try {
+                json.readValue<PlacedOrder>(body)
+            } catch (_: JsonProcessingException) {
+                return connection.respondJson(400, mapOf("error" to "not an order"))
+            }
         if (order.reclaimable && order.failureDomain in control.unavailableDomains) {
             return connection.respondJson(409, mapOf("error" to "no offer in ${order.failureDomain}"))
         }
         orders += order
         when (order.action) {
-            "start" -> startServer(order)?.let { servers[it.id] = it }
-            "stop" -> servers.remove(order.backendServer)
+            "start" -> repeat(order.count) { start(order) }
+            "stop" -> stop(order.backendServer)
         }
+        return acknowledge(connection)
+    }
+
+    private fun start(order: PlacedOrder) {
+        val server = startServer(order) ?: return
+        val delayed = control.startDelayMs > 0
+        if (delayed) runningAtMs[server.id] = clockMs() + control.startDelayMs
+        servers[server.id] =
+            server.copy(orderId = order.orderId, state = if (delayed) "starting" else server.state)
+    }
+
+    private fun stop(id: String) {
+        if (control.stopDelayMs == 0L) {
+            servers.remove(id)
+            return
+        }
+        servers.computeIfPresent(id) { _, server -> server.copy(state = "leaving") }
+        goneAtMs[id] = clockMs() + control.stopDelayMs
+    }
+
+    private suspend fun acknowledge(connection: ServerConnection): Boolean {
         if (control.loseAnswers > 0) {
             control = control.copy(loseAnswers = control.loseAnswers - 1)
             return false
         }
-        return connection.respondJson(200, mapOf("status" to "placed"))
+        val raw = control.rawAnswers.firstOrNull() ?: return connection.respondJson(200, mapOf("status" to "placed"))
+        control = control.copy(rawAnswers = control.rawAnswers.drop(1))
+        return connection.respond(200, Headers.EMPTY, raw.toByteArray())
     }
 }
--- a/standins/src/main/kotlin/org/hickorytiller/standins/UsageStandIn.kt
+++ b/standins/src/main/kotlin/org/hickorytiller/standins/UsageStandIn.kt
@@ -8,14 +8,24 @@
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CoroutineScope
 import org.hickorytiller.core.json
+import org.hickorytiller.http.Headers
 import org.hickorytiller.http.HttpLimits
 import org.hickorytiller.http.HttpServer
 import org.hickorytiller.http.ServerConnection
 import org.hickorytiller.http.respondJson
 import java.net.InetSocketAddress
 
-/** Faults of the interface. */
-data class UsageControl(val outage: Boolean = false, val loseAnswers: Int = 0)
+/**
+ * Faults of the interface.
+ *
+ * @property loseAnswers number of reports that are taken without an answer
+ * @property rawAnswers answers that are sent as they are, after the report was taken, one for each report
+ */
+data class UsageControl(
+    val outage: Boolean = false,
+    val loseAnswers: Int = 0,
+    val rawAnswers: List<String> = emptyList(),
+)
 
 /** The usage report stand-in. Confined to one event loop. */
 class UsageStandIn(private val incompleteRequestTimeoutMs: Long = 2_000) {
@@ -25,6 +35,10 @@
     /** Every report received, by window, in order. */
     val reports = LinkedHashMap<String, MutableList<String>>()
 
+    /** Requests that were closed because their body did not arrive in time. */
+    var incompleteRequests = 0
+        private set
+
     /** Starts serving on [address]. */
     fun start(group: EventLoopGroup, scope: CoroutineScope, address: InetSocketAddress): HttpServer =
         HttpServer.start(group, scope, address, HttpLimits(bodyTimeoutMs = incompleteRequestTimeoutMs), ::serve)
@@ -33,7 +47,11 @@
         while (true) {
             val head = connection.receive().getOrNull() ?: return
             if (head.headers["expect"] != null) connection.sendContinue()
-            val body = connection.receiveBody().getOrNull() ?: return
+            val body = connection.receiveBody().getOrNull()
+            if (body == null) {
+                incompleteRequests++
+                return
+            }
             if (!answer(connection, head.path, body)) return
         }
     }
@@ -50,6 +68,8 @@
             control = control.copy(loseAnswers = control.loseAnswers - 1)
             return false
         }
-        return connection.respondJson(200, mapOf("status" to "taken"))
+        val raw = control.rawAnswers.firstOrNull() ?: return connection.respondJson(200, mapOf("status" to "taken"))
+        control = control.copy(rawAnswers = control.rawAnswers.drop(1))
+        return connection.respond(200, Headers.EMPTY, raw.toByteArray())
     }
 }
