Count usage once, fix windows on the log and flush what routers served

Cause: routers did not count usage, and nothing turned flushes into windows with one figure.

Ruled out: sending the next flush before the last one is acknowledged (the ledger would have to keep sets of sequences instead of the last one of each run); a queue of flushes through an outage (memory would grow with its length, adding up by customer, class and pool does not); figures summed by the reporter (two reporters read different prefixes).

Change: UsageCounter, UsageLedger, UsageReporter, UsageDemand and router/UsageTask. A window carries the last sequence of each run, so that a reader can start after dropped records. Loss rule in an outage: beyond 200,000 combinations of customer, class and pool further ones are lost and counted.

Conclusion: the stated bound is the flush interval of 2 s and the time of one append.

--- /dev/null
+++ b/router/src/main/kotlin/org/hickorytiller/router/UsageTask.kt
@@ -0,0 +1,74 @@
+/**
+ * Writes what this router served to the log. The loss of a killed router is bounded by the flush interval and the time
+ * of one append; during an outage of the log by the outage, since usage is then kept in memory only.
+ */
+package org.hickorytiller.router
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.withTimeoutOrNull
+import org.hickorytiller.core.Clock
+import org.hickorytiller.core.json
+import org.hickorytiller.platform.Append
+import org.hickorytiller.platform.LogFailure
+import org.hickorytiller.usage.USAGE_STREAM
+import org.hickorytiller.usage.UsageCounter
+
+/** Flushes [counter] every [intervalMs]. Confined to the event loop. */
+internal class UsageTask(
+    private val counter: UsageCounter,
+    private val clock: Clock,
+    private val append: Append,
+    private val intervalMs: Long = FLUSH_INTERVAL_MS,
+) {
+    private var reportedLoss = 0L
+
+    /** Flushes for as long as the process runs. Does not return. */
+    suspend fun run(): Nothing {
+        var dueAt = clock() + intervalMs
+        var retryMs = intervalMs
+        while (true) {
+            delay(dueAt - clock())
+            // The interval counts from the start of the append; otherwise its time would be lost twice.
+            dueAt = clock() + intervalMs
+            if (flushAll()) {
+                retryMs = intervalMs
+            } else {
+                retryMs = (retryMs * 2).coerceAtMost(MAX_DELAY_MS)
+                dueAt = clock() + retryMs
+            }
+            reportLoss()
+        }
+    }
+
+    /** Flushes what is left before a planned stop, for at most [timeoutMs]. Returns whether everything is written. */
+    suspend fun drain(timeoutMs: Long): Boolean = withTimeoutOrNull(timeoutMs) {
+        while (!flushAll()) delay(DRAIN_RETRY_MS)
+        true
+    } ?: false
+
+    private suspend fun flushAll(): Boolean {
+        while (true) {
+            val flush = counter.nextFlush(clock()) ?: return true
+            val failure = append(USAGE_STREAM, json.writeValueAsBytes(flush)).leftOrNull()
+            // A flush above the record limit could never be written and would hold up all later ones.
+            if (failure == LogFailure.TOO_LARGE) log.error { "flush ${flush.sequence} exceeds the record limit" }
+            if (failure != null && failure != LogFailure.TOO_LARGE) return false
+            counter.acknowledged(flush)
+            if (!counter.hasMore) return true
+        }
+    }
+
+    private fun reportLoss() {
+        if (counter.lostRequests == reportedLoss) return
+        log.error { "usage of ${counter.lostRequests} requests was lost: too many keys during an outage of the log" }
+        reportedLoss = counter.lostRequests
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val FLUSH_INTERVAL_MS = 2_000L
+        const val MAX_DELAY_MS = 10_000L
+        const val DRAIN_RETRY_MS = 200L
+    }
+}
--- /dev/null
+++ b/usage/src/test/kotlin/org/hickorytiller/usage/UsageCounterTest.kt
@@ -0,0 +1,73 @@
+package org.hickorytiller.usage
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.doubles.plusOrMinus
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import org.hickorytiller.core.ClassId
+import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.TimeMs
+import org.hickorytiller.core.json
+
+class UsageCounterTest : AnnotationSpec() {
+    private val pool = PoolId("chat")
+
+    private fun counter(maxKeys: Int = 200_000) = UsageCounter("host-1", "run-1", TimeMs(0), maxKeys)
+
+    private fun UsageCounter.serve(customer: String) = add(CustomerId(customer), ClassId("reports"), pool, Served(10, 20, 300))
+
+    @Test
+    fun `guards against a repeated flush that differs from the first`() {
+        val counter = counter()
+        counter.serve("a")
+        val first = counter.nextFlush(TimeMs(2_000))
+        counter.serve("a")
+        counter.serve("b")
+        counter.nextFlush(TimeMs(4_000)) shouldBe first
+        counter.acknowledged(first!!)
+        val second = counter.nextFlush(TimeMs(6_000))!!
+        second.sequence shouldBe 2
+        second.entries.map { it.customer to it.requests } shouldBe listOf("a" to 1L, "b" to 1L)
+        counter.acknowledged(second)
+        counter.isEmpty shouldBe true
+    }
+
+    @Test
+    fun `guards against memory that grows with the length of an outage and against silent loss`() {
+        val counter = counter(maxKeys = 100)
+        counter.serve("0")
+        val stuck = counter.nextFlush(TimeMs(0))
+        repeat(100_000) { counter.serve("customer-${it % 150}") }
+        counter.nextFlush(TimeMs(600_000)) shouldBe stuck
+        counter.acknowledged(stuck!!)
+        val flush = counter.nextFlush(TimeMs(600_001))!!
+        flush.entries.size shouldBe 100
+        flush.entries.sumOf { it.requests } + counter.lostRequests shouldBe 100_000
+    }
+
+    @Test
+    fun `guards against a flush beyond the record limit of the log`() {
+        val counter = counter()
+        repeat(2_500) { counter.serve("customer-with-a-rather-long-name-$it") }
+        var flushed = 0
+        while (!counter.isEmpty) {
+            val flush = counter.nextFlush(TimeMs(0))!!
+            json.writeValueAsBytes(flush).size shouldBeLessThan 262_144
+            flushed += flush.entries.size
+            counter.acknowledged(flush)
+        }
+        flushed shouldBe 2_500
+    }
+
+    @Test
+    fun `guards against a demand that a flush after an outage or a repeated flush inflates`() {
+        val demand = UsageDemand(keepMs = 10_000)
+        fun flush(run: String, sequence: Long, spanMs: Long, busyMs: Long) = UsageFlush("host-$run", run, sequence, spanMs, listOf(UsageEntry("a", "reports", "chat", 1, 0, 0, busyMs)))
+        demand.add(flush("1", 1, 600_000, 1_200_000), TimeMs(0))
+        demand.add(flush("1", 1, 600_000, 1_200_000), TimeMs(10))
+        demand.add(flush("2", 4, 2_000, 3_000), TimeMs(20))
+        demand.busySlots(TimeMs(30)).values.single() shouldBe (3.5 plusOrMinus 1e-9)
+        demand.busySlots(TimeMs(10_025)).isEmpty() shouldBe true
+    }
+}
