Decide at most once and crash quarantine; bound what a connection may hold

Cause: a re-sent refund could run twice, a request that crashes servers was re-sent without end, and a connection could hold a head open, smuggle a second request by an ambiguous length, or be reused after extra bytes of its server.

Ruled out: an intent whose right expires (a paused holder would run the request after the next one); marking a request by one lost connection (a connection is lost without a crash).

EventParser and StreamPosition decide what a resumed stream passes on. http: time of a head from its first byte, ambiguous framing refused, queue bounded in bytes, connections capped, no reuse after anything but a whole and lone answer, a refused sender is drained so that it can read its error.

Before: none of these existed.

--- /dev/null
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/RequestFingerprint.kt
@@ -0,0 +1,36 @@
+/** Hashes that identify a request across attempts, routers and callers. */
+package org.hickorytiller.dispatch
+
+import org.hickorytiller.core.CustomerId
+import java.security.MessageDigest
+
+/** Identifies what a backend server executes, so that a request which crashes servers is recognised when re-sent. */
+@JvmInline
+value class RequestFingerprint(val value: String) {
+    override fun toString() = value.take(SHOWN_DIGITS)
+
+    private companion object {
+        const val SHOWN_DIGITS = 12
+    }
+}
+
+/**
+ * The fingerprint of a request. [routeOrModel] names what runs it. The `Idempotency-Key` is left out, since a caller
+ * may send the same body again under a new key.
+ */
+fun fingerprint(customer: CustomerId, routeOrModel: String, body: ByteArray): RequestFingerprint =
+    RequestFingerprint(sha256(customer.value, routeOrModel, body = body))
+
+/** The digest by which a re-sent request is compared with the first one of its `Idempotency-Key`. */
+fun requestDigest(method: String, target: String, body: ByteArray): RequestDigest =
+    RequestDigest(sha256(method, target, body = body))
+
+internal fun sha256(vararg parts: String, body: ByteArray = ByteArray(0)): String {
+    val digest = MessageDigest.getInstance("SHA-256")
+    parts.forEach {
+        val bytes = it.toByteArray()
+        digest.update("${bytes.size}:".toByteArray())
+        digest.update(bytes)
+    }
+    return digest.digest(body).joinToString("") { "%02x".format(it) }
+}
--- /dev/null
+++ b/dispatch/src/test/kotlin/org/hickorytiller/dispatch/StreamPositionTest.kt
@@ -0,0 +1,82 @@
+package org.hickorytiller.dispatch
+
+import io.kotest.assertions.throwables.shouldThrow
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.shouldBe
+import kotlin.random.Random
+
+class StreamPositionTest : AnnotationSpec() {
+    private fun token(text: String, finish: String? = null) = """{"choices":[{"index":0,"delta":{"content":"$text"},"finish_reason":${finish?.let { "\"$it\"" }}}]}"""
+
+    private val role = """{"choices":[{"index":0,"delta":{"role":"assistant","content":""}}]}"""
+
+    private fun answer(tokens: Int, from: Int, end: String): String {
+        val parts = listOf(role) + (from until tokens).map { token("t$it ", if (it == tokens - 1) "stop" else null) } + "[DONE]"
+        return parts.joinToString("") { "data: $it$end$end" }
+    }
+
+    @Test
+    fun `guards against events that depend on how the bytes are cut`() {
+        listOf("\n", "\r\n", "\r").forAll { end ->
+            val bytes = (": comment$end$end" + answer(5, 0, end)).toByteArray()
+            (1L..40L).toList().forAll { seed ->
+                val random = Random(seed)
+                val parser = EventParser()
+                val events = mutableListOf<ServerSentEvent>()
+                var at = 0
+                while (at < bytes.size) {
+                    val next = minOf(bytes.size, at + random.nextInt(1, 30))
+                    events += parser.feed(bytes.copyOfRange(at, next))
+                    at = next
+                }
+                events.filter { it.data.isNotEmpty() }.map { it.data } shouldBe
+                    listOf(role) + (0 until 5).map { token("t$it ", if (it == 4) "stop" else null) } + "[DONE]"
+                parser.heldBytes shouldBe 0
+            }
+        }
+    }
+
+    @Test
+    fun `guards against an event without end that fills the memory`() {
+        val parser = EventParser(maxEventBytes = 100)
+        shouldThrow<EventTooLargeException> { repeat(20) { parser.feed("data: xxxxxxxx".toByteArray()) } }
+    }
+
+    @Test
+    fun `guards against data that is not understood`() {
+        listOf("", "[]", "{", "null", "17", """{"choices":17}""", """{"choices":[{"delta":[]}]}""").forAll {
+            readCompletionEvent(it).tokens shouldBe 0
+        }
+    }
+
+    /** Cuts an answer at random bytes and resumes it; returns the texts passed on. */
+    private fun texts(seed: Long, resumeAt: (StreamPosition) -> Int): List<String> {
+        val random = Random(seed)
+        val position = StreamPosition()
+        val passed = mutableListOf<String>()
+        while (!position.isDone) {
+            position.resume()
+            val bytes = answer(12, resumeAt(position), "\n").toByteArray()
+            val cut = if (random.nextInt(4) == 0) bytes.size else random.nextInt(bytes.size)
+            EventParser().feed(bytes.copyOf(cut)).forEach {
+                if (position.accept(readCompletionEvent(it.data))) passed += it.data
+            }
+        }
+        return passed
+    }
+
+    private val expected = listOf(role) + (0 until 12).map { token("t$it ", if (it == 11) "stop" else null) } + "[DONE]"
+
+    @Test
+    fun `guards against lost or repeated tokens of a resumed answer`() {
+        (1L..500L).toList().forAll { seed -> texts(seed) { it.tokens } shouldBe expected }
+    }
+
+    @Test
+    fun `shows that a wrong resume offset is found`() {
+        val seeds = (1L..500L).filter { seed -> texts(seed) { if (it.tokens > 0) it.tokens - 1 else 0 } != expected }
+        println("wrong resume offset found first at seed ${seeds.first()}")
+        seeds.isEmpty() shouldBe false
+    }
+}
--- a/http/src/main/kotlin/org/hickorytiller/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/ClientConnection.kt
@@ -26,11 +26,24 @@
 ) {
     private var exchangeComplete = true
     private var closeAnnounced = false
+    private var interim = false
+
+    // Number of writes that have not reached the socket. A server may answer before it has read the whole request.
+    private var unwritten = 0
+
+    /** Whether the connection served an exchange before the current one. */
+    var isReused = false
+        internal set
 
     /** Whether the connection is still established as far as this side knows. */
     val isOpen: Boolean get() = channel.isActive
 
-    internal val isReusable: Boolean get() = isOpen && exchangeComplete && !closeAnnounced
+    /**
+     * Whether a further exchange can use the connection. It cannot after an exchange that did not end cleanly, or if
+     * the server sent anything beyond its answer: that could be taken for the answer to the next request.
+     */
+    val isReusable: Boolean
+        get() = isOpen && exchangeComplete && !closeAnnounced && unwritten == 0 && queue.isQuiet
 
     /** Sends a whole request. From here on the request may run. */
     fun send(head: RequestHead, body: ByteArray = ByteArray(0)) {
@@ -44,7 +57,7 @@
         request.fill(head)
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         exchangeComplete = false
-        channel.writeAndFlush(request)
+        write(request)
     }
 
     /** Sends the head of a request whose body of [bodyBytes] bytes follows with [sendBody]. */
@@ -53,24 +66,24 @@
         request.fill(head)
         request.headers().set(HttpHeaderNames.CONTENT_LENGTH, bodyBytes)
         exchangeComplete = false
-        channel.writeAndFlush(request)
+        write(request)
     }
 
     /** Sends the body announced with [sendHead]. */
     fun sendBody(body: ByteArray) {
-        channel.writeAndFlush(DefaultLastHttpContent(Unpooled.wrappedBuffer(body)))
+        write(DefaultLastHttpContent(Unpooled.wrappedBuffer(body)))
     }
 
     /** Receives the head of the response, an interim one included. */
     suspend fun receiveHead(timeoutMs: Long): Either<HttpFault, ResponseHead> {
+        var remainingMs = timeoutMs
         while (true) {
-            when (val part = queue.take(timeoutMs)) {
-                is Part.Status -> {
-                    closeAnnounced = part.head.headers["connection"].equals("close", ignoreCase = true)
-                    return part.head.right()
-                }
+            when (val part = queue.take(remainingMs)) {
+                // The rest of the head follows its first byte at once, unless the server is stuck.
+                is Part.Begin -> remainingMs = minOf(remainingMs, limits.headTimeoutMs)
+                is Part.Status -> return acceptHead(part.head).right()
                 is Part.Fault -> return part.fault.left()
-                is Part.End -> Unit
+                is Part.End -> if (!interim) return HttpFault.MALFORMED.left() else interim = false
                 else -> return HttpFault.MALFORMED.left()
             }
         }
@@ -96,6 +109,17 @@
         channel.close()
     }
 
+    private fun acceptHead(head: ResponseHead): ResponseHead {
+        closeAnnounced = head.headers.all("connection").any { it.contains("close", ignoreCase = true) }
+        interim = head.status < HttpStatus.OK
+        return head
+    }
+
+    private fun write(message: Any) {
+        unwritten++
+        channel.writeAndFlush(message).addListener { if (it.isSuccess) unwritten-- }
+    }
+
     private fun HttpRequest.fill(head: RequestHead) {
         head.headers.fields.forEach { headers().add(it.name, it.value) }
         if (!headers().contains(HttpHeaderNames.HOST)) {
--- a/http/src/main/kotlin/org/hickorytiller/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/HttpClient.kt
@@ -39,7 +39,7 @@
         val initializer =
             object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(HttpClientCodec(decoding, false, false), queue)
+                    channel.pipeline().addLast(ArrivalWatch(queue), HttpClientCodec(decoding, false, false), queue)
                 }
             }
         val future =
@@ -59,7 +59,8 @@
         val connections = idle[address]
         while (connections != null) {
             val connection = connections.removeLastOrNull() ?: break
-            if (connection.isOpen) return connection.right()
+            if (connection.isReusable) return connection.apply { isReused = true }.right()
+            connection.close()
         }
         return connect(address)
     }
--- a/http/src/main/kotlin/org/hickorytiller/http/HttpLimits.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/HttpLimits.kt
@@ -11,6 +11,8 @@
  * @property idleTimeoutMs time that a connection may stay open without a request
  * @property writeTimeoutMs time that a peer may leave the write buffer full
  * @property connectTimeoutMs time to establish a connection
+ * @property lingerTimeoutMs time that a refused peer gets to read the answer while what it still sends is dropped
+ * @property maxConnections number of connections that a server holds at once
  */
 data class HttpLimits(
     val maxHeadBytes: Int = 16_384,
@@ -20,4 +22,6 @@
     val idleTimeoutMs: Long = 60_000,
     val writeTimeoutMs: Long = 20_000,
     val connectTimeoutMs: Long = 2_000,
+    val lingerTimeoutMs: Long = 1_000,
+    val maxConnections: Int = 4_096,
 )
--- a/http/src/main/kotlin/org/hickorytiller/http/HttpMessages.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/HttpMessages.kt
@@ -25,6 +25,7 @@
     val target: String,
     val headers: Headers = Headers.EMPTY,
     val keepAlive: Boolean = true,
+    val protocol: String = "HTTP/1.1",
 ) {
     /** The path without the query. */
     val path: String get() = target.substringBefore('?')
@@ -62,4 +63,7 @@
 
     /** No connection could be established. */
     UNREACHABLE,
+
+    /** The request asks for an expectation other than `100-continue`. */
+    UNKNOWN_EXPECTATION,
 }
--- a/http/src/main/kotlin/org/hickorytiller/http/HttpServer.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/HttpServer.kt
@@ -4,6 +4,8 @@
 package org.hickorytiller.http
 
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -14,6 +16,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.asCoroutineDispatcher
 import kotlinx.coroutines.launch
+import org.hickorytiller.core.Verdict
 import java.net.InetSocketAddress
 
 /** A listening HTTP endpoint. */
@@ -40,7 +43,14 @@
         ): HttpServer {
             val initializer =
                 object : ChannelInitializer<SocketChannel>() {
-                    override fun initChannel(channel: SocketChannel) = startConnection(channel, scope, limits, serve)
+                    private var open = 0
+
+                    override fun initChannel(channel: SocketChannel) {
+                        if (open >= limits.maxConnections) return refuseConnection(channel)
+                        open++
+                        channel.closeFuture().addListener { open-- }
+                        startConnection(channel, scope, limits, serve)
+                    }
                 }
             val bootstrap =
                 ServerBootstrap()
@@ -65,16 +75,32 @@
                 HttpDecoderConfig()
                     .setMaxInitialLineLength(limits.maxHeadBytes)
                     .setMaxHeaderSize(limits.maxHeadBytes)
-            channel.pipeline().addLast(HttpServerCodec(decoding), queue)
+                    .setAllowDuplicateContentLengths(false)
+                    .setUseRfc9112TransferEncoding(true)
+            channel.pipeline().addLast(ArrivalWatch(queue), HttpServerCodec(decoding), queue)
+            val connection = ServerConnection(channel, queue, limits)
             scope.launch(channel.eventLoop().asCoroutineDispatcher()) {
                 try {
-                    serve(ServerConnection(channel, queue, limits))
+                    serve(connection)
+                    connection.closeGracefully()
                 } finally {
                     channel.close()
                 }
             }
         }
 
+        private fun refuseConnection(channel: SocketChannel) {
+            val body =
+                errorBody("too_many_connections", "the server has no room for a further connection", Verdict.NOT_RUN)
+            val head =
+                "HTTP/1.1 503 Service Unavailable\r\ncontent-type: application/json\r\nretry-after: 1\r\n" +
+                    "connection: close\r\ncontent-length: ${body.size}\r\n\r\n"
+            channel.eventLoop().execute {
+                val message = Unpooled.wrappedBuffer(head.toByteArray(), body)
+                channel.writeAndFlush(message).addListener(ChannelFutureListener.CLOSE)
+            }
+        }
+
         private const val BACKLOG = 1024
     }
 }
--- a/http/src/main/kotlin/org/hickorytiller/http/HttpStatus.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/HttpStatus.kt
@@ -3,6 +3,7 @@
 
 object HttpStatus {
     const val OK = 200
+    const val NO_CONTENT = 204
     const val BAD_REQUEST = 400
     const val UNAUTHORIZED = 401
     const val NOT_FOUND = 404
@@ -10,9 +11,11 @@
     const val REQUEST_TIMEOUT = 408
     const val CONFLICT = 409
     const val CONTENT_TOO_LARGE = 413
+    const val EXPECTATION_FAILED = 417
     const val UNPROCESSABLE_CONTENT = 422
     const val TOO_MANY_REQUESTS = 429
     const val HEADER_FIELDS_TOO_LARGE = 431
+    const val INTERNAL_SERVER_ERROR = 500
     const val BAD_GATEWAY = 502
     const val SERVICE_UNAVAILABLE = 503
     const val GATEWAY_TIMEOUT = 504
--- a/http/src/main/kotlin/org/hickorytiller/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/ServerConnection.kt
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 import java.net.InetSocketAddress
 
@@ -30,26 +31,41 @@
     /** The address of the peer. */
     val remoteAddress: InetSocketAddress? get() = channel.remoteAddress()
 
-    /** Completes when the connection is closed by either side. */
+    /** Completes when the peer has closed its side, even if only for sending, or the connection is closed. */
     val closed: Deferred<Unit> get() = queue.closed
 
     /** If true, the next response tells the peer that the connection will be closed. */
     var closeAfterResponse = false
 
-    /** Receives the head of the next request. */
+    // Whether the request in progress has a body that was not received to its end.
+    private var bodyPending = false
+    private var continuePending = false
+    private var announcedBytes = 0L
+
+    /**
+     * Receives the head of the next request. The time for the head runs from its first byte. What the task left of the
+     * body of the request before is dropped.
+     */
     suspend fun receive(): Either<HttpFault, RequestHead> {
+        var timeoutMs = limits.idleTimeoutMs
+        var headStartNs = 0L
         while (true) {
-            when (val part = queue.take(limits.idleTimeoutMs)) {
-                is Part.Request -> return part.head.also { if (!it.keepAlive) closeAfterResponse = true }.right()
+            when (val part = queue.take(timeoutMs)) {
+                is Part.Request -> return accept(part.head)
                 is Part.Fault -> return part.fault.left()
+                is Part.Begin -> headStartNs = System.nanoTime()
                 else -> Unit
             }
+            if (headStartNs != 0L) timeoutMs = (limits.headTimeoutMs - elapsedMs(headStartNs)).coerceAtLeast(1)
         }
     }
 
-    /** Receives the rest of the current request's body. */
-    suspend fun receiveBody(maxBytes: Int = limits.maxBodyBytes): Either<HttpFault, ByteArray> =
-        collectBody(queue, maxBytes, limits.bodyTimeoutMs)
+    /** Receives the rest of the current request's body, and asks for it if the peer waits to be asked. */
+    suspend fun receiveBody(maxBytes: Int = limits.maxBodyBytes): Either<HttpFault, ByteArray> {
+        if (announcedBytes > maxBytes) return HttpFault.BODY_TOO_LARGE.left()
+        if (continuePending) sendContinue()
+        return collectBody(queue, maxBytes, limits.bodyTimeoutMs).onRight { bodyPending = false }
+    }
 
     /** Sends a whole response. Returns false if the connection is gone. */
     suspend fun respond(status: Int, headers: Headers, body: ByteArray): Boolean {
@@ -78,17 +94,48 @@
     /** Ends a response that [startResponse] began. */
     suspend fun endResponse(): Boolean = write(LastHttpContent.EMPTY_LAST_CONTENT)
 
-    /** Sends the interim response that asks the peer for the body. */
-    suspend fun sendContinue(): Boolean =
-        write(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
+    /** Sends the interim response that asks the peer for the body, if it waits for that. */
+    suspend fun sendContinue(): Boolean {
+        if (!continuePending) return channel.isActive
+        continuePending = false
+        return write(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
+    }
 
     /** Closes the connection at once, without ending a response in progress. */
     fun abort() {
         channel.close()
     }
 
+    /**
+     * Closes the connection so that the peer can still read the last response. A peer that is still sending would
+     * otherwise be reset, and could lose the response.
+     */
+    internal suspend fun closeGracefully() {
+        if (channel.isActive && bodyPending && !queue.closed.isCompleted) {
+            channel.flush()
+            channel.shutdownOutput()
+            queue.discard()
+            withTimeoutOrNull(limits.lingerTimeoutMs) { queue.closed.await() }
+        }
+        channel.close()
+    }
+
+    private fun accept(head: RequestHead): Either<HttpFault, RequestHead> {
+        if (!head.keepAlive) closeAfterResponse = true
+        val expectation = head.headers["expect"]
+        announcedBytes = head.headers["content-length"]?.toLongOrNull() ?: 0
+        bodyPending = true
+        continuePending = expectation.equals("100-continue", ignoreCase = true) && head.protocol == "HTTP/1.1"
+        if (expectation != null && !expectation.equals("100-continue", ignoreCase = true)) {
+            return HttpFault.UNKNOWN_EXPECTATION.left()
+        }
+        return head.right()
+    }
+
     private fun HttpResponse.fill(headers: Headers) {
         headers.fields.forEach { headers().add(it.name, it.value) }
+        // The rest of a body that nobody receives would have to be read before the next request.
+        if (bodyPending) closeAfterResponse = true
         if (closeAfterResponse) headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
@@ -98,7 +145,7 @@
             return false
         }
         channel.writeAndFlush(message)
-        return queue.awaitWritable(limits.writeTimeoutMs)
+        return queue.awaitWritable(limits.writeTimeoutMs).also { if (!it) channel.close() }
     }
 }
 
@@ -107,17 +154,18 @@
     val startNs = System.nanoTime()
     val body = ByteArrayOutputStream()
     while (true) {
-        val elapsedMs = (System.nanoTime() - startNs) / NANOS_PER_MS
-        when (val part = queue.take((timeoutMs - elapsedMs).coerceAtLeast(1))) {
+        when (val part = queue.take((timeoutMs - elapsedMs(startNs)).coerceAtLeast(1))) {
             is Part.Body -> {
                 if (body.size() + part.bytes.size > maxBytes) return HttpFault.BODY_TOO_LARGE.left()
                 body.write(part.bytes)
             }
             is Part.End -> return body.toByteArray().right()
             is Part.Fault -> return part.fault.left()
-            is Part.Request, is Part.Status -> return HttpFault.MALFORMED.left()
+            is Part.Begin, is Part.Request, is Part.Status -> return HttpFault.MALFORMED.left()
         }
     }
 }
 
+private fun elapsedMs(startNs: Long) = (System.nanoTime() - startNs) / NANOS_PER_MS
+
 private const val NANOS_PER_MS = 1_000_000L
--- a/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
@@ -78,6 +78,11 @@
                     "request_timeout",
                     "the request was not complete in time",
                 )
+                HttpFault.UNKNOWN_EXPECTATION -> CallerError(
+                    HttpStatus.EXPECTATION_FAILED,
+                    "unknown_expectation",
+                    "the only expectation is 100-continue",
+                )
                 HttpFault.CLOSED, HttpFault.UNREACHABLE -> return
             }
         connection.closeAfterResponse = true
