Add the member table, suspicions and neighbourhood with figures up to 360 members

Cause: routers and controllers have to know each other without a coordination service, within the control budget of 29 KB/s per daemon, and a death must not be declared because one process does not hear another.

Ruled out: load in the flooded member records (360 members that report every 10 s over 16 links would cost about 80 KB/s per process; load is told to direct neighbours only), sending the whole table on each new link (digests are compared instead), controllers as full participants (they would double the links; they connect to two routers and relay nothing).

Change: MemberTable (merge by a total order of incarnation, state and version), SuspicionTable and SilenceWatch (two witnesses), Neighbourhood (rendezvous hashing, 8 per direction), DialPlan (host list as a hint), Membership (the exchange on one link), PeerMessage types and the one codec to protobuf. FetchConfiguration becomes a stream of parts, RecordIntents is new, KeyWithdrawalRequest is gone (a withdrawal is repeated until the other side has named the hash).

Conclusion: the sparse neighbourhood keeps the budget with room for the demand exchange.

--- a/membership/src/main/kotlin/org/hickorytiller/membership/AddressAnswer.kt
+++ b/membership/src/main/kotlin/org/hickorytiller/membership/AddressAnswer.kt
@@ -3,18 +3,8 @@
 
 import org.hickorytiller.core.FailureDomain
 import org.hickorytiller.core.HostId
-
-/** State of a member. */
-enum class MemberState { ALIVE, LEAVING, DEAD }
-
-/** A member as other processes see it. [loadPermille] is the share of its capacity in use. */
-data class Member(
-    val host: HostId,
-    val failureDomain: FailureDomain,
-    val callerAddress: String,
-    val state: MemberState,
-    val loadPermille: Int,
-)
+import org.hickorytiller.peering.MemberRecord
+import org.hickorytiller.peering.MemberState
 
 /**
  * @property addresses addresses to use, best first
@@ -22,12 +12,36 @@
  */
 data class AddressAnswer(val addresses: List<String>, val lifetimeMs: Long)
 
+/** The load of a host in permille of its capacity; null if this process does not know it. */
+typealias LoadOf = (HostId) -> Int?
+
 /**
- * Answers a caller in [failureDomain]: hosts of its failure domain first, then by load. Leaving hosts are never named.
+ * Answers a caller in [failureDomain]: hosts of its failure domain first, then by load in steps of a tenth, then spread
+ * by [turn], so that the callers of one moment do not all get the same host. Only hosts that are alive are named; a
+ * load that is unknown counts as the mean of the known ones.
  */
-fun answerAddresses(members: Collection<Member>, failureDomain: FailureDomain?, lifetimeMs: Long): AddressAnswer {
-    val usable = members.filter { it.state == MemberState.ALIVE }
+fun answerAddresses(
+    members: Collection<MemberRecord>,
+    failureDomain: FailureDomain?,
+    loadOf: LoadOf,
+    lifetimeMs: Long,
+    turn: Long,
+): AddressAnswer {
+    val usable = members.filter { it.state == MemberState.ALIVE && it.callerAddress.isNotEmpty() }
+    val known = usable.mapNotNull { loadOf(it.id.host) }
+    val mean = if (known.isEmpty()) 0 else known.sum() / known.size
     val ordered =
-        usable.sortedWith(compareBy({ it.failureDomain != failureDomain }, { it.loadPermille }, { it.host.value }))
-    return AddressAnswer(ordered.map { it.callerAddress }, lifetimeMs)
+        usable.sortedWith(
+            compareBy(
+                { it.failureDomain != failureDomain },
+                { (loadOf(it.id.host) ?: mean) / LOAD_STEP_PERMILLE },
+                { mix(idHash(it.id) + turn) },
+            ),
+        )
+    return AddressAnswer(ordered.take(MAX_ADDRESSES).map { it.callerAddress }, lifetimeMs)
 }
+
+private const val LOAD_STEP_PERMILLE = 100
+
+/** More addresses than a caller tries in turn would only make the answer long. */
+private const val MAX_ADDRESSES = 8
--- /dev/null
+++ b/membership/src/test/kotlin/org/hickorytiller/membership/PropagationTest.kt
@@ -0,0 +1,66 @@
+package org.hickorytiller.membership
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.doubles.shouldBeLessThan
+import io.kotest.matchers.ints.shouldBeLessThan
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import org.hickorytiller.peering.MemberState
+
+/** Figures of the membership protocol in virtual time; the lines that begin with FIG are the measured ones. */
+class PropagationTest : AnnotationSpec() {
+    @Test
+    fun `guards against news that takes longer than 2 s or more than the control budget at 360 members`() {
+        val seed = printedSeed()
+        listOf(8, 45, 90, 180, 360).forAll { count -> withClue("$count members") { measure(seed, count) } }
+    }
+
+    @Test
+    fun `guards against a daemon of router and controller over its budget at 360 hosts`() {
+        val members = VirtualMembers(printedSeed())
+        members.settle(360, controllers = true)
+        val (mean, most, _) = traffic(members, 20_000)
+        val daemons = members.nodes.groupBy { it.id.host }
+        println("FIG daemon of router and controller at 360 hosts: mean %.1f, most loaded process %.1f KB/s".format(2 * mean, most))
+        daemons.size shouldBe 360
+        2 * mean shouldBeLessThan 29.0
+        most shouldBeLessThan 29.0
+    }
+
+    private fun measure(seed: Long, count: Int) {
+        val members = VirtualMembers(seed)
+        members.settle(count)
+        val (mean, most, messages) = traffic(members, 20_000)
+        val known = members.nodes.map { it.id }.toSet()
+        val newcomer = members.add(members.uniqueMember(count), members.nodes.take(8).map { Contact(it.id.host, it.address) })
+        val join = members.timeUntil(10_000) { members.nodes.all { newcomer.id in it.live() } && newcomer.live().containsAll(known) }
+        members.run(10_000)
+        newcomer.membership.announce(MemberState.LEAVING, members.now)
+        val leave = members.timeUntil(10_000) { members.nodes.all { it.knows(newcomer.id, MemberState.LEAVING) } }
+        members.run(10_000)
+        newcomer.crashed = true
+        val crash = members.timeUntil(20_000) { members.working().all { it.knows(newcomer.id, MemberState.DEAD) } }
+        println(
+            "FIG %3d members: mean %.1f KB/s, most %.1f KB/s, %.1f messages/s; join known everywhere after %s ms, leaving %s ms, crash %s ms; largest message %d bytes"
+                .format(count, mean, most, messages, join, leave, crash, members.largestMessageBytes),
+        )
+        join.shouldNotBeNull() shouldBeLessThanOrEqual 2_000
+        leave.shouldNotBeNull() shouldBeLessThanOrEqual 2_000
+        crash.shouldNotBeNull() shouldBeLessThanOrEqual 4_000
+        most shouldBeLessThan 29.0
+        members.largestMessageBytes shouldBeLessThan 262_144
+    }
+
+    /** Mean and highest KB/s and messages/s of a member while nothing changes. */
+    private fun traffic(members: VirtualMembers, durationMs: Long): Triple<Double, Double, Double> {
+        val bytes = members.nodes.map { it.bytes }
+        val messages = members.nodes.sumOf { it.messages }
+        members.run(durationMs)
+        val rates = members.nodes.mapIndexed { index, node -> (node.bytes - bytes[index]) / durationMs.toDouble() }
+        val sent = members.nodes.sumOf { it.messages } - messages
+        return Triple(rates.average(), rates.max(), sent * 1000.0 / durationMs / members.nodes.size)
+    }
+}
--- /dev/null
+++ b/peering/src/main/kotlin/org/hickorytiller/peering/PeerMessage.kt
@@ -0,0 +1,97 @@
+/** A message between neighbours in the types of the slices, free of gRPC and protobuf. */
+package org.hickorytiller.peering
+
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.ClassId
+import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.KeyHash
+import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.ProcessId
+
+/** The process at the other end of a link. */
+data class PeerIdentity(val id: MemberId, val process: ProcessId)
+
+/** A quarantined request by its fingerprint. Durations are exchanged, since clocks differ. */
+data class QuarantineNews(val fingerprint: String, val remainingMs: Long)
+
+/** Notice that the backend servers of a failure domain are about to be reclaimed. */
+data class EvictionNews(val failureDomain: FailureDomain, val remainingMs: Long)
+
+/** Demand of one class at the sender. */
+data class ClassDemand(val requestClass: ClassId, val waiting: Int, val running: Int, val arrivalsPerMinute: Int)
+
+/** Service that a customer has had from the sender, as a total since the sender's start. */
+data class CustomerCharge(
+    val requestClass: ClassId,
+    val customer: CustomerId,
+    val chargedTokens: Long,
+    val running: Int,
+    val requestsPerMinute: Int,
+)
+
+/** The sender's requests on one backend server. */
+data class BackendLoad(val backendServer: BackendServerId, val inFlight: Int, val waitingShare: Int)
+
+/** Demand and charges at the sender. A report replaces the one before it. */
+data class DemandReport(
+    val sequence: Long,
+    val classes: List<ClassDemand> = emptyList(),
+    val customers: List<CustomerCharge> = emptyList(),
+    val backends: List<BackendLoad> = emptyList(),
+)
+
+/**
+ * @property sender who sends; only in the first message of a stream
+ * @property sequence number of the message in its stream and direction, from 1
+ * @property tableDigest digest of the sender's live member records, for comparison; null in most messages
+ */
+data class PeerMessage(
+    val sender: PeerIdentity? = null,
+    val incarnation: Long,
+    val sequence: Long,
+    val configurationOffset: LogOffset = LogOffset.NONE,
+    val loadPermille: Int = 0,
+    val members: List<MemberRecord> = emptyList(),
+    val suspicions: List<Suspicion> = emptyList(),
+    val tableDigest: Long? = null,
+    val recordDigests: List<Long> = emptyList(),
+    val withdrawnKeys: List<KeyHash> = emptyList(),
+    val quarantines: List<QuarantineNews> = emptyList(),
+    val evictions: List<EvictionNews> = emptyList(),
+    val demand: DemandReport? = null,
+)
+
+/** The content of the next message on a link, filled in by the slices that exchange news on it. */
+class MessageDraft {
+    var configurationOffset = LogOffset.NONE
+    var loadPermille = 0
+    val members = ArrayList<MemberRecord>()
+    val suspicions = ArrayList<Suspicion>()
+    var tableDigest: Long? = null
+    var recordDigests: List<Long> = emptyList()
+    val withdrawnKeys = ArrayList<KeyHash>()
+    val quarantines = ArrayList<QuarantineNews>()
+    val evictions = ArrayList<EvictionNews>()
+    var demand: DemandReport? = null
+
+    /** Set by a slice whose news did not fit; the next message then follows at once. */
+    var incomplete = false
+
+    /** The finished message. */
+    fun build(sender: PeerIdentity?, incarnation: Long, sequence: Long) = PeerMessage(
+        sender,
+        incarnation,
+        sequence,
+        configurationOffset,
+        loadPermille,
+        members,
+        suspicions,
+        tableDigest,
+        recordDigests,
+        withdrawnKeys,
+        quarantines,
+        evictions,
+        demand,
+    )
+}
--- /dev/null
+++ b/peering/src/main/kotlin/org/hickorytiller/peering/PeerMessageCodec.kt
@@ -0,0 +1,209 @@
+/**
+ * The only place that translates between the types of the slices and protobuf. A message that does not make sense as
+ * a whole is refused as a whole, so that no slice sees half of it.
+ */
+package org.hickorytiller.peering
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.ClassId
+import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.HostId
+import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.peering.generated.BackendInFlight
+import org.hickorytiller.peering.generated.EvictionRecord
+import org.hickorytiller.peering.generated.PeerEnvelope
+import org.hickorytiller.peering.generated.QuarantineRecord
+import org.hickorytiller.peering.generated.SuspicionRecord
+import org.hickorytiller.peering.generated.ClassDemand as WireClassDemand
+import org.hickorytiller.peering.generated.CustomerCharge as WireCustomerCharge
+import org.hickorytiller.peering.generated.DemandReport as WireDemandReport
+import org.hickorytiller.peering.generated.MemberRecord as WireMemberRecord
+import org.hickorytiller.peering.generated.MemberState as WireMemberState
+
+/** A field of a message that cannot be accepted. */
+data class MalformedMessage(val field: String)
+
+/** Encodes a message. */
+fun PeerMessage.toEnvelope(): PeerEnvelope {
+    val message = this
+    val builder =
+        PeerEnvelope
+            .newBuilder()
+            .setIncarnation(incarnation)
+            .setSequence(sequence)
+            .setConfigurationPosition(configurationOffset.value + 1)
+            .setLoadPermille(loadPermille)
+            .addAllMembers(members.map { it.toWire() })
+            .addAllSuspicions(suspicions.map { it.toWire() })
+            .setTableDigest(tableDigest ?: 0)
+            .addAllRecordDigests(recordDigests)
+            .addAllWithdrawnKeyHashes(withdrawnKeys.map { it.value })
+            .addAllQuarantines(quarantines.map { it.toWire() })
+            .addAllEvictions(evictions.map { it.toWire() })
+    sender?.let {
+        builder.setSenderProcess(it.process.value).setSenderHost(it.id.host.value).setSenderRole(it.id.role.code)
+    }
+    message.demand?.let { builder.setDemand(it.toWire()) }
+    return builder.build()
+}
+
+/** Decodes a message, or names the first field that is out of range. */
+fun PeerEnvelope.toMessage(): Either<MalformedMessage, PeerMessage> = try {
+    PeerMessage(
+        sender = senderIdentity(),
+        incarnation = incarnation.incarnation("incarnation"),
+        sequence = sequence.atLeast(1, "sequence"),
+        configurationOffset = LogOffset(configurationPosition.atLeast(0, "configuration_position") - 1),
+        loadPermille = loadPermille.coerceIn(0, MAX_LOAD_PERMILLE),
+        members = membersList.map { it.toRecord() },
+        suspicions = suspicionsList.map { it.toSuspicion() },
+        tableDigest = tableDigest.takeIf { it != 0L },
+        recordDigests = recordDigestsList,
+        withdrawnKeys = withdrawnKeyHashesList.map { it.toKeyHash() },
+        quarantines = quarantinesList.map { it.toNews() },
+        evictions = evictionsList.map { it.toNews() },
+        demand = if (hasDemand()) demand.toReport() else null,
+    ).right()
+} catch (e: FieldException) {
+    MalformedMessage(e.field).left()
+}
+
+private fun PeerEnvelope.senderIdentity(): PeerIdentity? {
+    if (senderHost.isEmpty() && senderProcess.isEmpty()) return null
+    return PeerIdentity(
+        MemberId(HostId(senderHost.name("sender_host")), senderRole.toRole()),
+        ProcessId(senderProcess.name("sender_process")),
+    )
+}
+
+private fun MemberRecord.toWire(): WireMemberRecord = WireMemberRecord
+    .newBuilder()
+    .setProcess(process.value)
+    .setHost(id.host.value)
+    .setRole(id.role.code)
+    .setFailureDomain(failureDomain.value)
+    .setIncarnation(incarnation)
+    .setVersion(version)
+    .setState(WIRE_STATES.getValue(state))
+    .setPeerAddress(peerAddress)
+    .setCallerAddress(callerAddress)
+    .setAdminAddress(adminAddress)
+    .build()
+
+private fun WireMemberRecord.toRecord() = MemberRecord(
+    MemberId(HostId(host.name("members.host")), role.toRole()),
+    ProcessId(process.name("members.process")),
+    FailureDomain(failureDomain.name("members.failure_domain")),
+    incarnation.incarnation("members.incarnation"),
+    version.atLeast(0, "members.version"),
+    WIRE_STATES.entries.firstOrNull { it.value == state }?.key ?: throw FieldException("members.state"),
+    peerAddress.addressOrEmpty("members.peer_address"),
+    callerAddress.addressOrEmpty("members.caller_address"),
+    adminAddress.addressOrEmpty("members.admin_address"),
+)
+
+private fun Suspicion.toWire(): SuspicionRecord = SuspicionRecord
+    .newBuilder()
+    .setHost(target.host.value)
+    .setRole(target.role.code)
+    .setIncarnation(incarnation)
+    .setObserverHost(observer.host.value)
+    .setObserverRole(observer.role.code)
+    .setVersion(version)
+    .setActive(active)
+    .build()
+
+private fun SuspicionRecord.toSuspicion() = Suspicion(
+    MemberId(HostId(host.name("suspicions.host")), role.toRole()),
+    incarnation.incarnation("suspicions.incarnation"),
+    MemberId(HostId(observerHost.name("suspicions.observer_host")), observerRole.toRole()),
+    version.atLeast(0, "suspicions.version"),
+    active,
+)
+
+private fun QuarantineNews.toWire(): QuarantineRecord =
+    QuarantineRecord.newBuilder().setFingerprint(fingerprint).setRemainingMs(remainingMs).build()
+
+private fun QuarantineRecord.toNews() =
+    QuarantineNews(fingerprint.name("quarantines.fingerprint"), remainingMs.atLeast(0, "quarantines.remaining_ms"))
+
+private fun EvictionNews.toWire(): EvictionRecord =
+    EvictionRecord.newBuilder().setFailureDomain(failureDomain.value).setRemainingMs(remainingMs).build()
+
+private fun EvictionRecord.toNews() = EvictionNews(
+    FailureDomain(failureDomain.name("evictions.failure_domain")),
+    remainingMs.atLeast(0, "evictions.remaining_ms"),
+)
+
+private fun DemandReport.toWire(): WireDemandReport = WireDemandReport
+    .newBuilder()
+    .setSequence(sequence)
+    .addAllClasses(classes.map { it.toWire() })
+    .addAllCustomers(customers.map { it.toWire() })
+    .addAllBackends(backends.map { it.toWire() })
+    .build()
+
+private fun ClassDemand.toWire(): WireClassDemand = WireClassDemand
+    .newBuilder()
+    .setClassId(requestClass.value)
+    .setWaiting(waiting)
+    .setRunning(running)
+    .setArrivalsPerMinute(arrivalsPerMinute)
+    .build()
+
+private fun CustomerCharge.toWire(): WireCustomerCharge = WireCustomerCharge
+    .newBuilder()
+    .setClassId(requestClass.value)
+    .setCustomer(customer.value)
+    .setChargedTokens(chargedTokens)
+    .setRunning(running)
+    .setRequestsPerMinute(requestsPerMinute)
+    .build()
+
+private fun BackendLoad.toWire(): BackendInFlight = BackendInFlight
+    .newBuilder()
+    .setBackendServer(backendServer.value)
+    .setInFlight(inFlight)
+    .setWaitingShare(waitingShare)
+    .build()
+
+private fun WireDemandReport.toReport() = DemandReport(
+    sequence.atLeast(0, "demand.sequence"),
+    classesList.map {
+        ClassDemand(
+            ClassId(it.classId.name("demand.class_id")),
+            it.waiting.count("demand.waiting"),
+            it.running.count("demand.running"),
+            it.arrivalsPerMinute.count("demand.arrivals_per_minute"),
+        )
+    },
+    customersList.map {
+        CustomerCharge(
+            ClassId(it.classId.name("demand.class_id")),
+            CustomerId(it.customer.name("demand.customer")),
+            it.chargedTokens.atLeast(0, "demand.charged_tokens"),
+            it.running.count("demand.running"),
+            it.requestsPerMinute.count("demand.requests_per_minute"),
+        )
+    },
+    backendsList.map {
+        BackendLoad(
+            BackendServerId(it.backendServer.name("demand.backend_server")),
+            it.inFlight.count("demand.in_flight"),
+            it.waitingShare.count("demand.waiting_share"),
+        )
+    },
+)
+
+private const val MAX_LOAD_PERMILLE = 1_000
+private val WIRE_STATES =
+    mapOf(
+        MemberState.ALIVE to WireMemberState.MEMBER_STATE_ALIVE,
+        MemberState.LEAVING to WireMemberState.MEMBER_STATE_LEAVING,
+        MemberState.DEAD to WireMemberState.MEMBER_STATE_DEAD,
+    )
