Flush usage once per interval also while requests are served

Cause: the flush loop went on while the counter had entries, and requests served during an append kept it filled, so appends followed each other without a pause.

Ruled out: a pause between two flushes of one round, which would slow the catch-up after an outage.

Change: whether more flushes follow is decided when the flush is cut. The drain of a planned stop goes on until the counter is empty. A test counts the appends of a minute.

--- a/router/src/main/kotlin/org/hickorytiller/router/UsageTask.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/UsageTask.kt
@@ -43,19 +43,22 @@
 
     /** Flushes what is left before a planned stop, for at most [timeoutMs]. Returns whether everything is written. */
     suspend fun drain(timeoutMs: Long): Boolean = withTimeoutOrNull(timeoutMs) {
-        while (!flushAll()) delay(DRAIN_RETRY_MS)
+        while (!flushAll() || !counter.isEmpty) delay(DRAIN_RETRY_MS)
         true
     } ?: false
 
     private suspend fun flushAll(): Boolean {
         while (true) {
             val flush = counter.nextFlush(clock()) ?: return true
+            // What is served during the append waits for the next interval; otherwise appends would follow each other
+            // without a pause.
+            val hasMore = counter.hasMore
             val failure = append(USAGE_STREAM, json.writeValueAsBytes(flush)).leftOrNull()
             // A flush above the record limit could never be written and would hold up all later ones.
             if (failure == LogFailure.TOO_LARGE) log.error { "flush ${flush.sequence} exceeds the record limit" }
             if (failure != null && failure != LogFailure.TOO_LARGE) return false
             counter.acknowledged(flush)
-            if (!counter.hasMore) return true
+            if (!hasMore) return true
         }
     }
 
--- a/router/src/test/kotlin/org/hickorytiller/router/UsageTaskTest.kt
+++ b/router/src/test/kotlin/org/hickorytiller/router/UsageTaskTest.kt
@@ -47,6 +47,18 @@
 
     private fun UsageCounter.serveOne() = add(CustomerId("clinic"), ClassId("reports"), PoolId("chat"), Served(10, 20, 300))
 
+    @Test
+    fun `guards against appends without a pause while requests are served`() {
+        val log = Log()
+        val append: Append = { _, data ->
+            delay(100)
+            log.take(data)
+            LogOffset(0).right()
+        }
+        lostByKill(60_000, append, log)
+        log.end shouldBe 29
+    }
+
     /** Serves a request every [SERVE_EVERY_MS] until the router is killed at [killAtMs]; returns those that were lost. */
     private fun lostByKill(killAtMs: Long, append: Append, log: Log): Long {
         var served = 0L
