--- a/controller/src/main/kotlin/org/hickorytiller/controller/Main.kt
+++ b/controller/src/main/kotlin/org/hickorytiller/controller/Main.kt
@@ -2,16 +2,13 @@
 package org.hickorytiller.controller
 
 import arrow.core.getOrElse
-import kotlinx.coroutines.awaitCancellation
-import kotlinx.coroutines.launch
-import org.hickorytiller.core.monotonicClock
+import kotlinx.coroutines.async
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withTimeoutOrNull
+import org.hickorytiller.core.text
 import org.hickorytiller.http.EventLoop
-import org.hickorytiller.http.HttpClient
-import org.hickorytiller.http.HttpLimits
-import org.hickorytiller.leases.Duty
-import org.hickorytiller.leases.LeaseTiming
-import org.hickorytiller.platform.LogClient
 import java.io.File
+import java.io.IOException
 import kotlin.system.exitProcess
 
 fun main(args: Array<String>) {
@@ -21,18 +18,33 @@
         exitProcess(if (path == null) 2 else 0)
     }
     val settings =
-        ControllerSettings.read(File(path).readText()).getOrElse { faults ->
+        ControllerSettings.read(readFile(path)).getOrElse { faults ->
             faults.forEach { System.err.println("$path: $it") }
             exitProcess(2)
         }
-    startController(settings, EventLoop())
-    println("controller ${settings.host} runs")
+    val loop = EventLoop()
+    val controller = Controller(settings, loop)
+    try {
+        controller.start()
+    } catch (e: IOException) {
+        System.err.println("cannot listen on ${settings.adminAddress.text()}: ${e.message}")
+        exitProcess(1)
+    }
+    Runtime.getRuntime().addShutdownHook(Thread { stop(controller, loop, settings.stopTimeoutMs) })
+    println("controller ${settings.host} serves operators on ${settings.adminAddress.text()}")
+}
+
+private fun readFile(path: String): String = try {
+    File(path).readText()
+} catch (e: IOException) {
+    System.err.println("$path: ${e.message}")
+    exitProcess(2)
 }
 
-private fun startController(settings: ControllerSettings, loop: EventLoop) {
-    val log = LogClient(HttpClient(loop.group, HttpLimits()), settings.logAddress)
-    val timing = LeaseTiming(settings.termMs, settings.driftMarginMs, settings.renewIntervalMs)
-    val leases = LeaseTask(settings.host, timing, monotonicClock, log::append, log::read)
-    loop.scope.launch { leases.follow() }
-    loop.scope.launch { leases.perform(Duty("usage-windows")) { awaitCancellation() } }
+// On SIGTERM the leases are released, so that the duties do not stay vacant for a term.
+private fun stop(controller: Controller, loop: EventLoop, timeoutMs: Long) = runBlocking {
+    val stopped = loop.scope.async { controller.stop() }
+    if (withTimeoutOrNull(timeoutMs) { stopped.await() } == null) {
+        System.err.println("the leases were not released within $timeoutMs ms; they run out")
+    }
 }
--- /dev/null
+++ b/controller/src/main/kotlin/org/hickorytiller/controller/OrderTask.kt
@@ -0,0 +1,298 @@
+/**
+ * Places the orders of one failure domain while its lease is held: settle what a predecessor or a lost answer left
+ * open, plan, put the intent on the log, send, record the outcome.
+ */
+package org.hickorytiller.controller
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import org.hickorytiller.core.BackendServerState
+import org.hickorytiller.core.Clock
+import org.hickorytiller.core.Delivery
+import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.TimeMs
+import org.hickorytiller.core.json
+import org.hickorytiller.core.sendWhileHeld
+import org.hickorytiller.http.HttpFault
+import org.hickorytiller.http.HttpStatus
+import org.hickorytiller.orders.ClassDemand
+import org.hickorytiller.orders.LedgerEntry
+import org.hickorytiller.orders.ORDER_STREAM
+import org.hickorytiller.orders.OrderAction
+import org.hickorytiller.orders.OrderId
+import org.hickorytiller.orders.OrderIntent
+import org.hickorytiller.orders.OrderOutcome
+import org.hickorytiller.orders.OrderPlanner
+import org.hickorytiller.orders.OrderRecord
+import org.hickorytiller.orders.OrderResult
+import org.hickorytiller.orders.OrderedServer
+import org.hickorytiller.orders.Plan
+import org.hickorytiller.orders.PlannedOrder
+import org.hickorytiller.orders.PlannerInput
+import org.hickorytiller.orders.PlannerSettings
+import org.hickorytiller.orders.PoolPolicy
+import org.hickorytiller.orders.fitsLimits
+import org.hickorytiller.orders.planEngineOrders
+import org.hickorytiller.platform.Append
+import org.hickorytiller.platform.EngineOrder
+import org.hickorytiller.platform.ListOrderedServers
+import org.hickorytiller.platform.LogFailure
+import org.hickorytiller.platform.ServerOrder
+import java.net.InetSocketAddress
+
+/** Places an order with the platform; see [org.hickorytiller.core.SendChecked] for the functions. */
+internal typealias PlaceServerOrder = suspend (ServerOrder, () -> Boolean, () -> Unit) -> Delivery
+
+/** Sends an order to an engine; see [org.hickorytiller.core.SendChecked] for the functions. */
+internal typealias PlaceEngineOrder = suspend (InetSocketAddress, EngineOrder, () -> Boolean, () -> Unit) -> Delivery
+
+/**
+ * The platform as the orders of a failure domain need it.
+ *
+ * @property sender name of this host, for people
+ * @property onLateWrite is told of an order that was written after the lease had ended
+ */
+internal class OrderInterface(
+    val sender: String,
+    val append: Append,
+    val list: ListOrderedServers,
+    val place: PlaceServerOrder,
+    val placeEngineOrder: PlaceEngineOrder,
+    val onLateWrite: (OrderId) -> Unit = {},
+)
+
+/**
+ * What the configuration and the traffic ask for.
+ *
+ * @property failureDomains all failure domains of the deployment
+ */
+internal class OrderWishes(
+    val policies: List<PoolPolicy>,
+    val demand: List<ClassDemand>,
+    val failureDomains: List<FailureDomain>,
+)
+
+/**
+ * @property requiredLeaseMs time that the lease must last when a body is written: the receiver's limit for incomplete
+ *   requests and a margin
+ * @property planIntervalMs time between two plans
+ * @property readBackMs time for a record to be read back
+ */
+internal data class OrderTiming(
+    val requiredLeaseMs: Long = 2_500,
+    val planIntervalMs: Long = 1_000,
+    val readBackMs: Long = 5_000,
+)
+
+/** Orders of [failureDomain]. Confined to the event loop. */
+internal class OrderTask(
+    private val failureDomain: FailureDomain,
+    private val platform: OrderInterface,
+    stream: OrderStream,
+    private val wishes: () -> OrderWishes,
+    private val settings: PlannerSettings,
+    private val timing: OrderTiming,
+    private val clock: Clock,
+    private val newOrderId: () -> OrderId,
+) {
+    private val ledger = stream.ledger
+    private val follower = stream.follower
+
+    // Orders that were written without a usable answer, with the time from which the platform's list is conclusive.
+    private val conclusiveAt = HashMap<OrderId, TimeMs>()
+
+    /** The last plan made under the lease. */
+    var lastPlan: Plan? = null
+        private set
+
+    /** Performs the duty; does not return. */
+    suspend fun run(lease: LeaseView): Nothing {
+        val planner = OrderPlanner(settings)
+        conclusiveAt.clear()
+        while (follower.catchUp(timing.readBackMs).getOrElse { false }.not()) delay(timing.planIntervalMs)
+        while (true) {
+            runRound(lease, planner)
+            delay(timing.planIntervalMs)
+        }
+    }
+
+    private suspend fun runRound(lease: LeaseView, planner: OrderPlanner) {
+        if (!lease.holds(timing.requiredLeaseMs)) return
+        val listedAt = clock()
+        val servers = list().getOrElse { return }
+        ledger.retainEngines(servers.map { it.server.id }.toSet())
+        if (!settleOpenIntents(servers, listedAt)) return
+        for (order in planOrders(planner, servers)) {
+            if (!placeOrder(lease, order, servers)) return
+        }
+    }
+
+    private suspend fun list(): Either<HttpFault, List<OrderedServer>> = platform.list().map { listed ->
+        listed.map { OrderedServer(it.server, it.orderId?.let(::OrderId)) }
+    }
+
+    private fun planOrders(planner: OrderPlanner, servers: List<OrderedServer>): List<PlannedOrder> {
+        val wishes = wishes()
+        val now = clock()
+        val input =
+            PlannerInput(
+                now,
+                wishes.policies,
+                wishes.demand,
+                servers,
+                ledger.openIntents(),
+                wishes.failureDomains,
+                ledger.unavailableOffers(now, settings.offerHoldMs),
+            )
+        val plan = planner.plan(input).also { lastPlan = it }
+        val loading = servers.count { it.server.state == BackendServerState.STARTING }
+        val ownEngines = servers.map { it.server }.filter { it.failureDomain == failureDomain }
+        val engineOrders =
+            planEngineOrders(ownEngines, wishes.policies, ledger, settings.maxConcurrentStarts - loading)
+        return plan.orders.filter { it.failureDomain == failureDomain } + engineOrders
+    }
+
+    /** Returns whether the round can go on. */
+    private suspend fun placeOrder(lease: LeaseView, order: PlannedOrder, servers: List<OrderedServer>): Boolean {
+        if (!lease.holds(timing.requiredLeaseMs)) return false
+        val entry = recordIntent(lease, order) ?: return false
+        if (order.action == OrderAction.START && !fits(entry)) {
+            return recordOutcome(entry, OrderResult.CANCELLED, "an earlier intent used up the limits")
+        }
+        val delivery = send(lease, entry.intent, servers)
+        return recordDelivery(entry, delivery)
+    }
+
+    // The order is sent only after its intent was read back, so a successor that has read the stream knows it.
+    private suspend fun recordIntent(lease: LeaseView, order: PlannedOrder): LedgerEntry? {
+        val intent =
+            OrderIntent(
+                newOrderId().value,
+                failureDomain.value,
+                lease.fencingToken.value,
+                order.action,
+                count = 1,
+                order.pool.value,
+                order.reclaimable,
+                order.backendServer?.value ?: "",
+                order.subject,
+            )
+        var seen = follower.seenThrough
+        val failure = appendRecord(intent)
+        if (failure == LogFailure.UNAVAILABLE || failure == LogFailure.TOO_LARGE) return null
+        val deadline = clock() + timing.readBackMs
+        while (true) {
+            ledger.openIntent(OrderId(intent.orderId))?.let { return it }
+            val leftMs = deadline - clock()
+            if (leftMs <= 0 || !follower.awaitAfter(seen, leftMs)) return null
+            seen = follower.seenThrough
+        }
+    }
+
+    private suspend fun fits(entry: LedgerEntry): Boolean {
+        val policy = wishes().policies.firstOrNull { it.pool.value == entry.intent.pool } ?: return false
+        val servers = list().getOrElse { return false }
+        return fitsLimits(entry, policy, servers, ledger.openIntents())
+    }
+
+    private suspend fun send(lease: LeaseView, intent: OrderIntent, servers: List<OrderedServer>): Delivery =
+        sendWhileHeld(
+            lease::holds,
+            timing.requiredLeaseMs,
+            { mayWrite, afterWrite -> send(intent, servers, mayWrite, afterWrite) },
+            {
+                log.warn { "order ${intent.orderId} was written after the lease had ended" }
+                platform.onLateWrite(OrderId(intent.orderId))
+            },
+        )
+
+    private suspend fun send(
+        intent: OrderIntent,
+        servers: List<OrderedServer>,
+        mayWrite: () -> Boolean,
+        afterWrite: () -> Unit,
+    ): Delivery = when (intent.action) {
+        OrderAction.START, OrderAction.STOP -> platform.place(serverOrder(intent), mayWrite, afterWrite)
+        OrderAction.LOAD_MODEL, OrderAction.CHANGE_ROLE -> {
+            val engine = servers.firstOrNull { it.server.id.value == intent.backendServer }
+            val order = EngineOrder(intent.orderId, intent.action.code, intent.subject, intent.fencingToken)
+            if (engine == null) {
+                Delivery.NotSent("the engine is gone")
+            } else {
+                platform.placeEngineOrder(engine.server.address, order, mayWrite, afterWrite)
+            }
+        }
+    }
+
+    private fun serverOrder(intent: OrderIntent) = ServerOrder(
+        intent.orderId,
+        intent.action.code,
+        intent.pool,
+        intent.failureDomain,
+        intent.reclaimable,
+        intent.count,
+        intent.backendServer,
+        intent.fencingToken,
+        platform.sender,
+    )
+
+    private suspend fun recordDelivery(entry: LedgerEntry, delivery: Delivery): Boolean = when (delivery) {
+        is Delivery.Taken -> recordOutcome(entry, OrderResult.PLACED, "")
+        is Delivery.NotSent -> recordOutcome(entry, OrderResult.NOT_PLACED, delivery.reason) && false
+        is Delivery.Refused -> recordOutcome(entry, refusal(entry.intent, delivery), delivery.reason)
+        is Delivery.Unknown -> {
+            log.warn { "order ${entry.intent.orderId}: ${delivery.reason}; settled from the list of servers" }
+            conclusiveAt[OrderId(entry.intent.orderId)] = clock() + timing.requiredLeaseMs
+            false
+        }
+    }
+
+    private fun refusal(intent: OrderIntent, delivery: Delivery.Refused) =
+        if (intent.action == OrderAction.START && delivery.status == HttpStatus.CONFLICT) {
+            OrderResult.NO_OFFER
+        } else {
+            OrderResult.REFUSED
+        }
+
+    /** Returns false if the log did not take an outcome. */
+    private suspend fun settleOpenIntents(servers: List<OrderedServer>, listedAt: TimeMs): Boolean {
+        val own = ledger.openIntents().filter { it.intent.failureDomain == failureDomain.value }
+        for (entry in own) {
+            val conclusive = conclusiveAt[OrderId(entry.intent.orderId)]
+            if (conclusive != null && listedAt < conclusive) continue
+            val result = if (tookEffect(entry.intent, servers)) OrderResult.PLACED else OrderResult.NOT_PLACED
+            if (!recordOutcome(entry, result, "settled from the list of servers")) return false
+        }
+        return true
+    }
+
+    // An engine does not tell what it was ordered; loading the same model again does no harm.
+    private fun tookEffect(intent: OrderIntent, servers: List<OrderedServer>): Boolean = when (intent.action) {
+        OrderAction.START -> servers.any { it.orderId?.value == intent.orderId }
+        OrderAction.STOP -> servers.none {
+            it.server.id.value == intent.backendServer && it.server.state != BackendServerState.LEAVING
+        }
+        OrderAction.LOAD_MODEL, OrderAction.CHANGE_ROLE -> false
+    }
+
+    private suspend fun recordOutcome(entry: LedgerEntry, result: OrderResult, detail: String): Boolean {
+        val intent = entry.intent
+        val seen = follower.seenThrough
+        val failure = appendRecord(OrderOutcome(intent.orderId, result, detail))
+        conclusiveAt.remove(OrderId(intent.orderId))
+        log.info {
+            "order ${intent.orderId} ${intent.action.code} ${intent.pool} in $failureDomain: ${result.code} $detail"
+        }
+        if (failure == null) follower.awaitAfter(seen, timing.readBackMs)
+        return failure == null
+    }
+
+    private suspend fun appendRecord(record: OrderRecord): LogFailure? =
+        platform.append(ORDER_STREAM, json.writeValueAsBytes(record)).leftOrNull()
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+    }
+}
--- /dev/null
+++ b/controller/src/main/kotlin/org/hickorytiller/controller/UsageWindowTask.kt
@@ -0,0 +1,109 @@
+/**
+ * Fixes and reports usage windows while the lease is held. The stream is read only by the holder: at the long-run size
+ * it would be too much for every controller.
+ */
+package org.hickorytiller.controller
+
+import arrow.core.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.hickorytiller.core.Clock
+import org.hickorytiller.core.Delivery
+import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.json
+import org.hickorytiller.core.sendWhileHeld
+import org.hickorytiller.platform.Append
+import org.hickorytiller.platform.Read
+import org.hickorytiller.usage.FixedWindow
+import org.hickorytiller.usage.USAGE_SCHEMA
+import org.hickorytiller.usage.USAGE_STREAM
+import org.hickorytiller.usage.UsageLedger
+import org.hickorytiller.usage.UsageRecord
+import org.hickorytiller.usage.UsageReporter
+import org.hickorytiller.usage.UsageStep
+import org.hickorytiller.usage.UsageTiming
+import org.hickorytiller.usage.WindowId
+import org.hickorytiller.usage.reportBytes
+
+internal val USAGE_FORMAT = RecordFormat(USAGE_STREAM, UsageRecord::class.java, USAGE_SCHEMA)
+
+/** Reports the bytes of a window with a fencing token; see [org.hickorytiller.core.SendChecked] for the functions. */
+internal typealias ReportWindow = suspend (WindowId, ByteArray, LogOffset, () -> Boolean, () -> Unit) -> Delivery
+
+/** Usage windows. [requiredLeaseMs] is as in [OrderTiming]. Confined to the event loop. */
+internal class UsageWindowTask(
+    private val append: Append,
+    private val read: Read,
+    private val report: ReportWindow,
+    private val timing: UsageTiming,
+    private val requiredLeaseMs: Long,
+    private val clock: Clock,
+    private val newFixId: () -> String,
+    private val onLateWrite: (WindowId) -> Unit = {},
+) {
+    /** What the holder has read; of the last lease if none is held. */
+    var ledger = UsageLedger()
+        private set
+
+    /** Performs the duty; does not return. */
+    suspend fun run(lease: LeaseView): Unit = coroutineScope {
+        val current = UsageLedger()
+        ledger = current
+        val follower = RecordFollower(USAGE_FORMAT, read, current::dropped, current::apply)
+        launch { follower.follow(LogOffset(0)) }
+        while (follower.catchUp(CATCH_UP_MS).getOrElse { false }.not()) delay(timing.retryMs)
+        val reporter = UsageReporter(current, timing, lease.fencingToken, clock(), newFixId)
+        while (true) {
+            when (val step = reporter.step(clock())) {
+                is UsageStep.Wait -> follower.awaitAfter(follower.seenThrough, (step.until - clock()).coerceAtLeast(1))
+                is UsageStep.Report -> send(lease, reporter, step.window)
+                is UsageStep.Fix -> appendAll(lease, reporter, follower, step.parts)
+                is UsageStep.Acknowledge -> appendAll(lease, reporter, follower, listOf(step.record))
+            }
+        }
+    }
+
+    private suspend fun send(lease: LeaseView, reporter: UsageReporter, window: FixedWindow) {
+        val delivery =
+            sendWhileHeld(
+                lease::holds,
+                requiredLeaseMs,
+                { mayWrite, afterWrite ->
+                    report(window.id, window.reportBytes(), lease.fencingToken, mayWrite, afterWrite)
+                },
+                {
+                    log.warn { "the report of window ${window.id} was written after the lease had ended" }
+                    onLateWrite(window.id)
+                },
+            )
+        if (delivery == Delivery.Taken) {
+            reporter.reportTaken(window)
+            log.info { "window ${window.id} reported" }
+        } else {
+            reporter.failed(clock())
+            log.warn { "report of window ${window.id}: $delivery" }
+        }
+    }
+
+    private suspend fun appendAll(
+        lease: LeaseView,
+        reporter: UsageReporter,
+        follower: RecordFollower<UsageRecord>,
+        records: List<UsageRecord>,
+    ) {
+        var last = follower.seenThrough
+        for (record in records) {
+            if (!lease.holds(0)) return reporter.failed(clock())
+            last = append(USAGE_STREAM, json.writeValueAsBytes(record)).getOrElse { return reporter.failed(clock()) }
+        }
+        reporter.appended(clock())
+        if (follower.awaitRead(last, CATCH_UP_MS)) reporter.shown(clock())
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val CATCH_UP_MS = 10_000L
+    }
+}
