--- /dev/null
+++ b/peering/src/main/kotlin/org/hickorytiller/peering/PeerCounters.kt
@@ -0,0 +1,27 @@
+/** Counts what became of messages and links, by a short reason. */
+package org.hickorytiller.peering
+
+/** Called with the reason each time a link ends; for metrics and the timeline. */
+typealias OnLinkEnd = (remote: String, reason: String) -> Unit
+
+/** Counters of one process. Confined to the event loop. */
+class PeerCounters(var onLinkEnd: OnLinkEnd = { _, _ -> }) {
+    private val counts = HashMap<String, Long>()
+
+    /** Adds one to the count of [reason]. */
+    fun count(reason: String) {
+        counts.merge(reason, 1, Long::plus)
+    }
+
+    /** Counts the end of a link to [remote]. */
+    fun linkEnded(remote: String, reason: String) {
+        count("link_$reason")
+        onLinkEnd(remote, reason)
+    }
+
+    /** The number of times that [reason] was counted. */
+    operator fun get(reason: String): Long = counts[reason] ?: 0
+
+    /** All counts by reason. */
+    fun all(): Map<String, Long> = counts
+}
