Decide admission by tier, fair share and predicted wait, and choose servers by score

Cause: the first form scanned lists, could starve a class, had no limits, queued past the target and let another request take a granted slot before it started. The choice of a server ignored load reports, stragglers, prefixes and eviction.

Ruled out: expiring accepted requests at their target. Refusals are now decided on arrival, on a predicted load that does not contain less urgent tiers, and an accepted request stays up to the timeout of its class. Cumulative counters in peer reports, which a joining router would count as new service: the reports carry decayed present values instead.

Change: heaps by customer service, floor rule, displacement of customers over their share, limits, preemption with counted waste, slot quotas from peer reports, score with stragglers, prefixes and eviction notices, load report tasks.

--- a/admission/src/main/kotlin/org/hickorytiller/admission/AdmissionQueue.kt
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/AdmissionQueue.kt
@@ -1,56 +1,260 @@
 /**
- * The requests of one pool that wait for a slot, in order of tier, then of the service that their customers have had.
- * Pure decisions: the caller says how many slots are free and what time it is.
+ * The requests of one pool that wait for a slot or run: strict tiers, a floor that keeps classes from starving, fair
+ * shares of the customers within a class, early refusals, and the choice of running work to preempt.
+ * Pure decisions: the caller says how many slots there are and what time it is.
  */
 package org.hickorytiller.admission
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.hickorytiller.core.ClassId
 import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.RequestClass
 import org.hickorytiller.core.TimeMs
 
-/** Waiting requests of one pool. */
-class AdmissionQueue {
-    private val waiting = mutableListOf<Ticket>()
-    private val charged = HashMap<CustomerId, Double>()
+/** Weight of a customer relative to others; above 0. */
+typealias WeightOf = (CustomerId) -> Double
+
+/**
+ * Requests of one pool.
+ *
+ * @param slots number of slots that this router may use in the pool, free or not
+ */
+class AdmissionQueue(
+    private val rules: AdmissionRules = AdmissionRules(),
+    private val weightOf: WeightOf = { 1.0 },
+    private val slots: () -> Int,
+) {
+    private val entries = HashMap<TicketId, Entry>()
+    private val classes = ArrayList<ClassQueue>()
+    private val load = PredictedLoad()
+    private var advancedTo: TimeMs? = null
+    private var grantsSinceFloor = 0
 
     /** Number of waiting requests. */
-    val size: Int get() = waiting.size
+    val size: Int get() = classes.sumOf { it.waiting }
+
+    /** Number of running requests. */
+    val running: Int get() = classes.sumOf { it.running.size }
+
+    /** Counters by class. */
+    val counters: Map<ClassId, ClassCounters>
+        get() = classes.associate { it.requestClass.id to it.counters }
+
+    /** Demand of this router by class. */
+    fun demand(pool: PoolId): List<ClassDemand> = classes.map {
+        ClassDemand(pool, it.requestClass.id, it.requestClass.tier, it.waiting, it.running.size)
+    }
+
+    /** Passes each customer of each class that has changed since the previous call, with its decayed tokens. */
+    internal fun reportChanged(now: TimeMs, report: (ClassId, CustomerId, Double) -> Unit) {
+        classes.forEach { queue ->
+            queue.share.reportChanged(now) { account, tokens ->
+                report(queue.requestClass.id, account.customer, tokens)
+            }
+        }
+    }
+
+    /**
+     * Accepts [ticket] as waiting, or refuses it if it would not start by [Ticket.startBy]. The value is a waiting
+     * request that has to be refused in its place, because its customer is further over its share; usually null.
+     */
+    fun offer(ticket: Ticket, now: TimeMs): Either<Refused, Ticket?> {
+        advance(now)
+        val queue = queueOf(ticket.requestClass)
+        queue.counters.offered++
+        val available = slots()
+        if (available <= 0) return refuse(queue, Refusal.NO_BACKEND_SERVER, NO_SERVER_RETRY_MS)
+        val waitMs = load.waitMs(ticket.requestClass.tier, available)
+        if (waitMs == 0L || now + waitMs <= ticket.startBy) {
+            load.add(ticket.requestClass.tier, queue.serviceMs)
+            enqueue(Entry(ticket, queue.share.account(ticket.customer), queue, queue.serviceMs, false), now)
+            return null.right()
+        }
+        if (takeFloorSeat(queue, now)) {
+            enqueue(Entry(ticket, queue.share.account(ticket.customer), queue, 0.0, true), now)
+            return null.right()
+        }
+        val displaced =
+            queue.share.displacedBy(ticket.customer, queue.answerTokens, now)
+                ?: return refuse(queue, Refusal.OVERLOADED, now + waitMs - ticket.startBy)
+        drop(displaced)
+        queue.counters.displaced++
+        val account = queue.share.account(ticket.customer)
+        enqueue(Entry(ticket, account, queue, displaced.predictedMs, displaced.onFloorSeat), now)
+        return displaced.ticket.right()
+    }
+
+    /** Time after which a request of [requestClass] would start if it arrived now. */
+    fun predictedWaitMs(requestClass: RequestClass, now: TimeMs): Long {
+        advance(now)
+        return load.waitMs(requestClass.tier, slots())
+    }
+
+    /** Gives a free slot to the next request, which runs from now on; null if none waits. */
+    fun grant(now: TimeMs): Ticket? {
+        advance(now)
+        val mostUrgent = classes.firstOrNull { it.waiting > 0 } ?: return null
+        val starving = starving(mostUrgent, now)
+        val queue = starving ?: mostUrgent
+        if (starving == null) {
+            grantsSinceFloor++
+        } else {
+            grantsSinceFloor = 0
+            queue.counters.floorGrants++
+        }
+        val entry = queue.share.first()?.waiting?.first ?: return null
+        queue.start(entry, now)
+        return entry.ticket
+    }
+
+    /** Removes a waiting request whose caller left. */
+    fun cancel(id: TicketId) {
+        val entry = entries[id] ?: return
+        if (entry.startedAt != null) return
+        drop(entry)
+        entry.queue.counters.cancelled++
+        if (entry.predictedMs > 0) load.remove(entry.ticket.requestClass.tier, entry.predictedMs)
+    }
 
-    /** Adds a request. */
-    fun offer(ticket: Ticket) {
-        if (waiting.none { it.customer == ticket.customer }) raiseToLeastServed(ticket.customer)
-        waiting += ticket
+    /**
+     * Removes the requests that have waited as long as their class allows and passes each to [refused]. A request that
+     * was accepted stays until then: what delays it beyond the prediction is mostly less urgent work, and a refusal for
+     * that would shed a higher tier for a lower one.
+     */
+    fun expire(now: TimeMs, refused: (Ticket) -> Unit) {
+        advance(now)
+        classes.forEach { queue ->
+            while (true) {
+                val entry = queue.deadlines.top ?: break
+                if (now < entry.ticket.giveUpAt) break
+                drop(entry)
+                queue.counters.expired++
+                refused(entry.ticket)
+            }
+        }
     }
 
-    /** Removes and returns the next request for a free slot; null if none waits. */
-    fun poll(): Ticket? {
-        val next = waiting.minWithOrNull(
-            compareBy({
-                it.requestClass.tier
-            }, { charged[it.customer] ?: 0.0 }, { it.arrivedAt }),
-        )
-        if (next != null) waiting -= next
-        return next
+    /** Charges the customer of a running request for [tokens] that were streamed to it. */
+    fun charge(id: TicketId, tokens: Int, now: TimeMs) {
+        val entry = entries[id] ?: return
+        entry.tokens += tokens
+        entry.queue.counters.tokens += tokens
+        if (rules.mechanisms.chargeWhileStreaming) entry.queue.share.charge(entry.account, tokens, now)
     }
 
-    /** Removes a request that no longer waits. */
-    fun remove(id: TicketId) {
-        waiting.removeAll { it.id == id }
+    /** Records that a running request left its slot, and whether its answer was [complete]. */
+    fun ended(id: TicketId, now: TimeMs, complete: Boolean = true) {
+        advance(now)
+        val entry = entries.remove(id) ?: return
+        if (entry.startedAt == null) return
+        if (!rules.mechanisms.chargeWhileStreaming) {
+            entry.queue.share.charge(entry.account, entry.tokens.toInt(), now)
+        }
+        entry.queue.end(entry, now, complete)
+        if (complete && entry.predictedMs > 0) {
+            val startedAt = entry.startedAt ?: now
+            load.correct(entry.ticket.requestClass.tier, (now - startedAt) - entry.predictedMs)
+        }
     }
 
-    /** Removes and returns the requests that can no longer start in time. */
-    fun expire(now: TimeMs): List<Ticket> {
-        val expired = waiting.filter { it.startBy <= now }
-        waiting -= expired.toSet()
-        return expired
+    /**
+     * Chooses a running idempotent request to stop for a more urgent tier that would otherwise start too late; null if
+     * none is needed. To be called while no slot is free. The caller stops the request and then calls [ended].
+     */
+    fun preempt(now: TimeMs): Ticket? {
+        val urgent = classes.firstOrNull { it.waiting > 0 } ?: return null
+        val nearest = urgent.deadlines.top ?: return null
+        val stopping = classes.sumOf { it.stopping }
+        val slackMs = maxOf(0L, nearest.ticket.startBy - now - PREEMPTION_MARGIN_MS)
+        val runningMs = classes.sumOf { it.running.size * it.serviceMs }
+        val count = running
+        val releases = if (runningMs > 0) slackMs * count / (runningMs / count) else 0.0
+        if (urgent.waiting - stopping <= releases) return null
+        for (index in classes.indices.reversed()) {
+            val queue = classes[index]
+            if (queue.requestClass.tier <= urgent.requestClass.tier) return null
+            val victim = queue.newestIdempotent() ?: continue
+            victim.preempted = true
+            queue.stopping++
+            queue.counters.preempted++
+            queue.counters.wastedTokens += victim.tokens
+            return victim.ticket
+        }
+        return null
     }
 
-    /** Charges [customer] for [tokens] that were streamed to it. */
-    fun charge(customer: CustomerId, tokens: Int) {
-        charged.merge(customer, tokens.toDouble(), Double::plus)
+    /** Adds [tokens] that another router charged to [customer]. */
+    fun chargeRemote(requestClass: ClassId, customer: CustomerId, tokens: Double, now: TimeMs) {
+        classes.firstOrNull { it.requestClass.id == requestClass }?.share?.chargeRemote(customer, tokens, now)
     }
 
-    private fun raiseToLeastServed(customer: CustomerId) {
-        val least = waiting.minOfOrNull { charged[it.customer] ?: 0.0 } ?: return
-        charged.merge(customer, least, ::maxOf)
+    private fun enqueue(entry: Entry, now: TimeMs) {
+        entries[entry.ticket.id] = entry
+        entry.queue.add(entry, now)
+    }
+
+    // While more urgent tiers use every slot, a class may have one request wait for the floor rule in each interval in
+    // which the rule can serve one. The decision does not look at less urgent work.
+    private fun takeFloorSeat(queue: ClassQueue, now: TimeMs): Boolean {
+        val last = queue.floorSeatAt
+        if (last != null && now - last < rules.starvationBoundMs) return false
+        if (!load.occupiedAbove(queue.requestClass.tier, slots())) return false
+        queue.floorSeatAt = now
+        return true
+    }
+
+    private fun drop(entry: Entry) {
+        entries.remove(entry.ticket.id)
+        entry.queue.removeWaiting(entry)
+    }
+
+    private fun refuse(queue: ClassQueue, reason: Refusal, retryAfterMs: Long): Either<Refused, Ticket?> {
+        queue.counters.refused++
+        return Refused(reason, maxOf(MIN_RETRY_MS, retryAfterMs)).left()
+    }
+
+    private fun starving(mostUrgent: ClassQueue, now: TimeMs): ClassQueue? {
+        if (!rules.mechanisms.floor || grantsSinceFloor < rules.floorEvery - 1) return null
+        var longest: ClassQueue? = null
+        for (queue in classes) {
+            if (queue === mostUrgent || queue.waiting == 0) continue
+            if (now - queue.waitingSince < rules.starvationBoundMs) continue
+            if (longest == null || queue.waitingSince < longest.waitingSince) longest = queue
+        }
+        return longest
+    }
+
+    private fun advance(now: TimeMs) {
+        if (advancedTo == now) return
+        advancedTo = now
+        load.advance(now, slots())
+    }
+
+    private fun queueOf(requestClass: RequestClass): ClassQueue {
+        for (queue in classes) {
+            if (queue.requestClass.id == requestClass.id) {
+                if (queue.requestClass.tier == requestClass.tier) return queue.also { it.reconfigure(requestClass) }
+                queue.reconfigure(requestClass)
+                classes.sortBy { it.requestClass.tier }
+                return queue
+            }
+        }
+        val queue = ClassQueue(requestClass, rules, weightOf)
+        classes += queue
+        classes.sortBy { it.requestClass.tier }
+        return queue
+    }
+
+    private companion object {
+        const val MIN_RETRY_MS = 100L
+
+        // The list of backend servers is read every 500 ms, so an earlier retry finds the same list.
+        const val NO_SERVER_RETRY_MS = 1_000L
+
+        // Covers the time between the cancel of a request and the release of its slot.
+        const val PREEMPTION_MARGIN_MS = 100L
     }
 }
--- /dev/null
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/Entry.kt
@@ -0,0 +1,61 @@
+/** A request inside the queue of a pool: waiting, then running. */
+package org.hickorytiller.admission
+
+import org.hickorytiller.core.TimeMs
+
+/**
+ * @property predictedMs service time with which it is part of the predicted load; 0 if it is not part of it
+ * @property onFloorSeat whether it waits for the floor rule, because more urgent tiers use every slot
+ */
+internal class Entry(
+    val ticket: Ticket,
+    val account: Account,
+    val queue: ClassQueue,
+    val predictedMs: Double,
+    val onFloorSeat: Boolean,
+) : HeapNode() {
+    var queuedService = 0.0
+    var startedAt: TimeMs? = null
+    var tokens = 0L
+    var preempted = false
+
+    internal var previous: Entry? = null
+    internal var next: Entry? = null
+}
+
+/** A doubly linked list of entries with removal in constant time. An entry is in one list at a time. */
+internal class EntryList {
+    var first: Entry? = null
+        private set
+    var last: Entry? = null
+        private set
+    var size = 0
+        private set
+
+    fun addLast(entry: Entry) {
+        entry.previous = last
+        entry.next = null
+        last?.next = entry
+        last = entry
+        if (first == null) first = entry
+        size++
+    }
+
+    fun remove(entry: Entry) {
+        val before = entry.previous
+        val after = entry.next
+        if (before == null) first = after else before.next = after
+        if (after == null) last = before else after.previous = before
+        entry.previous = null
+        entry.next = null
+        size--
+    }
+
+    inline fun forEach(action: (Entry) -> Unit) {
+        var entry = first
+        while (entry != null) {
+            action(entry)
+            entry = entry.next
+        }
+    }
+}
--- /dev/null
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/SlotQuotas.kt
@@ -0,0 +1,91 @@
+/**
+ * Division of the slots of a pool's backend servers among the routers of a cell, without a central counter. It is a
+ * pure function of the reports, so routers with the same reports compute the same quotas.
+ *
+ * Error bound: routers that hold the same reports never promise more slots than there are. Routers whose reports
+ * differ may, and the excess is at most the sum over the routers of the slots by which each one's own view of its quota
+ * exceeds the quota in a common view. A view is out of date for at most one exchange interval plus propagation, and for
+ * at most the time until a peer is declared dead. Routers that are cut into k groups promise at most k times the slots.
+ */
+package org.hickorytiller.admission
+
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.core.Tier
+import java.util.TreeMap
+
+/** Slots of one backend server. */
+data class ServerSlots(val id: BackendServerId, val slots: Int)
+
+/**
+ * Divides the slots of [servers] among the routers in [demands]: the demand of the highest tier of all routers first,
+ * in proportion if it exceeds the slots, then the next tier; what nobody demands is divided equally. Returns the quota
+ * of [self] for each server. Each slot of each server belongs to exactly one router.
+ */
+fun divideSlots(
+    servers: List<ServerSlots>,
+    demands: Map<ProcessId, List<ClassDemand>>,
+    self: ProcessId,
+): Map<BackendServerId, Int> {
+    val routers = demands.keys.sortedBy { it.value }
+    val own = routers.indexOf(self)
+    if (own < 0) return emptyMap()
+    val total = servers.sumOf { it.slots }
+    val shares = poolShares(total.toDouble(), routers.map { demands.getValue(it) })
+    val carried = DoubleArray(routers.size)
+    val quotas = HashMap<BackendServerId, Int>(servers.size * 2)
+    for (server in servers.sortedBy { it.id.value }) {
+        quotas[server.id] = divideServer(server, shares, total, carried, routers)[own]
+    }
+    return quotas
+}
+
+/** Slots of the whole pool for each router, tier by tier, as fractions. */
+private fun poolShares(total: Double, demands: List<List<ClassDemand>>): DoubleArray {
+    val byTier = TreeMap<Tier, DoubleArray>()
+    demands.forEachIndexed { router, classes ->
+        classes.forEach { demand ->
+            val ofTier = byTier.getOrPut(demand.tier) { DoubleArray(demands.size) }
+            ofTier[router] += (demand.waiting + demand.running).toDouble()
+        }
+    }
+    val shares = DoubleArray(demands.size)
+    var left = total
+    for (wanted in byTier.values) {
+        val sum = wanted.sum()
+        if (sum <= 0) continue
+        val part = minOf(1.0, left / sum)
+        wanted.forEachIndexed { router, amount -> shares[router] += amount * part }
+        left -= sum * part
+    }
+    for (router in shares.indices) shares[router] += left / shares.size
+    return shares
+}
+
+// Whole slots go to the routers with the largest rest. What is rounded at one server is carried to the next, so a
+// router's sum over the pool is within one slot of its share. Equal rests go round in rendezvous order.
+private fun divideServer(
+    server: ServerSlots,
+    shares: DoubleArray,
+    total: Int,
+    carried: DoubleArray,
+    routers: List<ProcessId>,
+): IntArray {
+    val quota = IntArray(shares.size)
+    for (router in shares.indices) carried[router] += shares[router] * server.slots / total
+    val order = routers.indices.sortedBy { rendezvousRank(server.id, routers[it]) }
+    repeat(server.slots) {
+        val next = order.maxByOrNull { carried[it] } ?: return quota
+        quota[next]++
+        carried[next] -= 1.0
+    }
+    return quota
+}
+
+private fun rendezvousRank(server: BackendServerId, router: ProcessId): Int {
+    val mixed = (server.value.hashCode() * HASH_FACTOR) xor router.value.hashCode()
+    return (mixed xor (mixed ushr HASH_SHIFT)) * HASH_FACTOR
+}
+
+private const val HASH_FACTOR = -0x61c88647
+private const val HASH_SHIFT = 15
--- a/admission/src/main/kotlin/org/hickorytiller/admission/Ticket.kt
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/Ticket.kt
@@ -1,4 +1,4 @@
-/** A request as admission sees it. */
+/** A request as admission sees it, and the answers that admission gives. */
 package org.hickorytiller.admission
 
 import org.hickorytiller.core.CustomerId
@@ -12,7 +12,8 @@
 
 /**
  * @property arrivedAt when the request was complete
- * @property startBy when it has to get a slot at the latest to be of use to its caller
+ * @property startBy when it has to get a slot at the latest to reach the target of its class
+ * @property idempotent whether the request may be cancelled while it runs, in favour of a more urgent tier
  */
 data class Ticket(
     val id: TicketId,
@@ -21,7 +22,11 @@
     val pool: PoolId,
     val arrivedAt: TimeMs,
     val startBy: TimeMs,
-)
+    val idempotent: Boolean = false,
+) {
+    /** When the request is given up even if lower tiers delayed it. */
+    val giveUpAt: TimeMs get() = arrivedAt + requestClass.timeoutMs
+}
 
 /** Why a request was refused before it ran. */
 enum class Refusal(val code: String) {
@@ -37,3 +42,10 @@
     /** Its key was withdrawn while it waited. */
     KEY_WITHDRAWN("key_withdrawn"),
 }
+
+/**
+ * A refusal. The request has not run.
+ *
+ * @property retryAfterMs time after which the same request would probably be accepted
+ */
+data class Refused(val reason: Refusal, val retryAfterMs: Long)
--- a/balancing/src/main/kotlin/org/hickorytiller/balancing/BackendServerTable.kt
+++ b/balancing/src/main/kotlin/org/hickorytiller/balancing/BackendServerTable.kt
@@ -6,39 +6,187 @@
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.BackendServerState
+import org.hickorytiller.core.Clock
+import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.ModelId
 import org.hickorytiller.core.PoolId
 
+/** Slots of each server of a pool that this router may use; null if it may use all. */
+typealias QuotasOf = (PoolId) -> Map<BackendServerId, Int>?
+
+/**
+ * What the choice of a server depends on.
+ *
+ * @property careful whether a loss of the server would do much harm: non-idempotent or top-tier work
+ * @property prefix hashes of the blocks of the prompt, see [prefixHashes]
+ * @property model model or adapter that has to be loaded; null if any server will do
+ * @property excluded servers on which the request must not run, for example because it failed there
+ */
+class Choice(
+    val pool: PoolId,
+    val careful: Boolean = false,
+    val prefix: LongArray = NO_PREFIX,
+    val model: ModelId? = null,
+    val excluded: Set<BackendServerId> = emptySet(),
+) {
+    private companion object {
+        val NO_PREFIX = LongArray(0)
+    }
+}
+
 /** Backend servers by pool with this router's requests in flight. Confined to the event loop. */
-class BackendServerTable {
-    private var servers = emptyMap<BackendServerId, BackendServer>()
-    private val inFlight = HashMap<BackendServerId, Int>()
+class BackendServerTable(
+    private val clock: Clock,
+    private val rules: BalancingRules = BalancingRules(),
+    private val quotasOf: QuotasOf = { null },
+) {
+    private val servers = LinkedHashMap<BackendServerId, ServerState>()
+    private val pools = HashMap<PoolId, PoolServers>()
+    private val evictions = Evictions()
 
-    /** Replaces the list of backend servers. */
+    /** Replaces the list of backend servers. Estimates of servers that stay listed are kept. */
     fun replace(listed: List<BackendServer>) {
-        servers = listed.associateBy { it.id }
+        val ids = listed.mapTo(HashSet()) { it.id }
+        servers.values.removeIf { it.server.id !in ids && it.inFlight == 0 }
+        servers.values.forEach {
+            if (it.server.id !in
+                ids
+            ) {
+                it.server = it.server.copy(state = BackendServerState.LEAVING)
+            }
+        }
+        listed.forEach { server ->
+            val state = servers.getOrPut(server.id) { ServerState(server, rules) }
+            if (state.server.slots != server.slots) state.limit.resize(server.slots)
+            state.server = server
+        }
+        val byPool = servers.values.groupBy { it.server.pool }
+        pools.keys.retainAll(byPool.keys)
+        byPool.forEach { (pool, states) -> poolOf(pool).replace(states) }
     }
 
     /** The servers of [pool] that may receive new work. */
-    fun available(pool: PoolId): List<BackendServer> =
-        servers.values.filter { it.pool == pool && it.state == BackendServerState.RUNNING }
+    fun available(pool: PoolId): List<BackendServer> {
+        val now = clock()
+        return servers.values.map { it.server }.filter { it.pool == pool && evictions.takesNewWork(it, now) }
+    }
 
-    /** Number of requests that [pool] can take right now. */
-    fun freeSlots(pool: PoolId): Int = available(pool).sumOf { maxOf(0, it.slots - inFlight(it.id)) }
+    /** Number of requests that [pool] can take from this router right now. */
+    fun freeSlots(pool: PoolId): Int {
+        val states = refreshed(pool)?.states ?: return 0
+        var free = 0
+        val now = clock()
+        for (state in states) {
+            if (evictions.takesNewWork(state.server, now)) {
+                free +=
+                    maxOf(0, state.cap - state.inFlight)
+            }
+        }
+        return free
+    }
 
-    /** Chooses the server of [pool] with the smallest share of its slots in use; null if every slot is in use. */
-    fun choose(pool: PoolId): BackendServer? = available(pool)
-        .filter { inFlight(it.id) < it.slots }
-        .minByOrNull { inFlight(it.id).toDouble() / it.slots }
+    /** Number of slots of [pool] that this router may use, free or not. */
+    fun totalSlots(pool: PoolId): Int {
+        val states = refreshed(pool)?.states ?: return 0
+        var total = 0
+        val now = clock()
+        for (state in states) if (evictions.takesNewWork(state.server, now)) total += state.cap
+        return total
+    }
+
+    /** Chooses the server with the lowest score for [choice]; null if every slot that this router may use is taken. */
+    fun choose(choice: Choice): BackendServer? {
+        val pool = refreshed(choice.pool) ?: return null
+        val now = clock()
+        val matched = pool.matchPrefix(choice.prefix)
+        var best: ServerState? = null
+        var bestScore = Double.MAX_VALUE
+        for (state in pool.states) {
+            if (state.inFlight >= state.cap || !evictions.takesNewWork(state.server, now)) continue
+            if (choice.excluded.isNotEmpty() && state.server.id in choice.excluded) continue
+            val score = state.score(choice, if (pool.isHolder(state)) matched else 0.0, now)
+            if (score < bestScore) {
+                best = state
+                bestScore = score
+            }
+        }
+        val chosen = best ?: return null
+        if (chosen.straggler) chosen.probed(now)
+        if (choice.prefix.isNotEmpty()) pool.prefixes.store(pool.indexOf(chosen), choice.prefix)
+        return chosen.server
+    }
 
     /** Records that a request starts on [id]. */
     fun started(id: BackendServerId) {
-        inFlight.merge(id, 1, Int::plus)
+        servers[id]?.let { it.inFlight++ }
     }
 
     /** Records that a request ended on [id]. */
     fun ended(id: BackendServerId) {
-        inFlight.computeIfPresent(id) { _, count -> if (count > 1) count - 1 else null }
+        servers[id]?.let { if (it.inFlight > 0) it.inFlight-- }
+    }
+
+    /** Takes the time to first token of one answer of [id]. */
+    fun firstToken(id: BackendServerId, tookMs: Long) {
+        val state = servers[id] ?: return
+        val ratio = poolOf(state.server.pool).firstToken.ratio(tookMs.toDouble())
+        state.observe(ratio, clock())
+    }
+
+    /** Takes the mean time between the tokens of one answer of [id]. */
+    fun betweenTokens(id: BackendServerId, meanMs: Double) {
+        val state = servers[id] ?: return
+        val ratio = poolOf(state.server.pool).betweenTokens.ratio(meanMs)
+        state.observe(ratio, clock())
+        state.limit.observe(ratio, state.inFlight + state.peersInFlight)
+    }
+
+    /** Takes an answer of [id] that failed or made no progress. */
+    fun failed(id: BackendServerId) {
+        servers[id]?.observe(Double.POSITIVE_INFINITY, clock())
+    }
+
+    /** Typical time to first token in [pool]; 0 while none is known. */
+    fun typicalFirstTokenMs(pool: PoolId): Long = pools[pool]?.firstToken?.value?.toLong() ?: 0
+
+    /** Whether [id] is found to be a straggler. */
+    fun isStraggler(id: BackendServerId): Boolean = servers[id]?.straggler ?: false
+
+    /** Takes a load report. A report with older figures than the known one is ignored. */
+    fun report(id: BackendServerId, report: LoadReport) {
+        val state = servers[id] ?: return
+        val asOf = clock() - maxOf(0L, report.ageMs)
+        if (state.report != null && asOf < state.reportAsOf) return
+        state.report = report
+        state.reportAsOf = asOf
+    }
+
+    /** Takes an event of the prefix cache of a server. */
+    fun cacheEvent(event: CacheEvent) {
+        val state = servers[event.server] ?: return
+        val pool = poolOf(state.server.pool)
+        pool.prefixes.apply(pool.indexOf(state), event)
+    }
+
+    /** Takes the requests in flight of all peers by backend server. */
+    fun replacePeersInFlight(inFlight: Map<BackendServerId, Int>) {
+        servers.values.forEach { it.peersInFlight = inFlight[it.server.id] ?: 0 }
+    }
+
+    /** This router's requests in flight by backend server, without the idle ones. */
+    fun inFlight(): Map<BackendServerId, Int> =
+        servers.values.filter { it.inFlight > 0 }.associate { it.server.id to it.inFlight }
+
+    /** Takes an eviction notice: [domain] gets no new work for [remainingMs]. */
+    fun evict(domain: FailureDomain, remainingMs: Long) {
+        evictions.add(domain, clock() + remainingMs)
+    }
+
+    private fun refreshed(pool: PoolId): PoolServers? {
+        val known = pools[pool] ?: return null
+        known.applyQuotas(quotasOf(pool))
+        return known
     }
 
-    private fun inFlight(id: BackendServerId) = inFlight[id] ?: 0
+    private fun poolOf(pool: PoolId) = pools.getOrPut(pool) { PoolServers(rules) }
 }
--- /dev/null
+++ b/balancing/src/main/kotlin/org/hickorytiller/balancing/PrefixTable.kt
@@ -0,0 +1,112 @@
+/**
+ * Which backend servers probably hold which blocks of prompt prefixes in their caches. A block is known by the hash of
+ * the whole prefix up to its end. The table has a fixed size: a newer block replaces an older one in the same place.
+ *
+ * It learns from requests that were sent and from cache events. Events are late and have gaps; a gap makes everything
+ * that is known of the server doubtful, so it is dropped.
+ */
+package org.hickorytiller.balancing
+
+internal class PrefixTable(blocks: Int) {
+    private val mask = Integer.highestOneBit(maxOf(2, blocks)) - 1
+    private val keys = LongArray(mask + 1)
+    private val holders = IntArray((mask + 1) * WAYS) { NONE }
+    private val generations = HashMap<Int, Int>()
+    private val sequences = HashMap<Int, Long>()
+
+    /** Records that [server] holds the blocks [hashes]. */
+    fun store(server: Int, hashes: LongArray) {
+        val entry = encode(server)
+        for (hash in hashes) {
+            val slot = slot(hash)
+            if (keys[slot] != hash) {
+                keys[slot] = hash
+                holders.fill(NONE, slot * WAYS, (slot + 1) * WAYS)
+            }
+            add(slot, entry)
+        }
+    }
+
+    /** Number of blocks of [hashes], from the start, that some server holds, and the servers through [holder]. */
+    fun longestMatch(hashes: LongArray, holder: (Int) -> Unit): Int {
+        for (index in hashes.indices.reversed()) {
+            val slot = slot(hashes[index])
+            if (keys[slot] != hashes[index]) continue
+            var found = false
+            for (way in 0 until WAYS) {
+                val entry = holders[slot * WAYS + way]
+                if (entry == NONE || !current(entry)) continue
+                holder(entry ushr GENERATION_BITS)
+                found = true
+            }
+            if (found) return index + 1
+        }
+        return 0
+    }
+
+    /** Takes a cache event of [server]. */
+    fun apply(server: Int, event: CacheEvent) {
+        val last = sequences[server]
+        if (last != null && event.sequence <= last) return
+        if (last != null && event.sequence != last + 1) forget(server)
+        sequences[server] = event.sequence
+        store(server, event.stored)
+        event.removed.forEach { remove(server, it) }
+    }
+
+    /** Drops what is known of [server]. */
+    fun forget(server: Int) {
+        generations[server] = (generation(server) + 1) and GENERATION_MASK
+    }
+
+    private fun remove(server: Int, hash: Long) {
+        val slot = slot(hash)
+        if (keys[slot] != hash) return
+        for (way in slot * WAYS until (slot + 1) * WAYS) {
+            if (holders[way] != NONE && holders[way] ushr GENERATION_BITS == server) holders[way] = NONE
+        }
+    }
+
+    // The newest holder comes first; the oldest of the four falls out.
+    private fun add(slot: Int, entry: Int) {
+        val first = slot * WAYS
+        val server = entry ushr GENERATION_BITS
+        var end = first
+        while (end < first + WAYS - 1 && (holders[end] == NONE || holders[end] ushr GENERATION_BITS != server)) end++
+        holders.copyInto(holders, first + 1, first, end)
+        holders[first] = entry
+    }
+
+    private fun encode(server: Int) = (server shl GENERATION_BITS) or generation(server)
+
+    private fun current(entry: Int) = entry and GENERATION_MASK == generation(entry ushr GENERATION_BITS)
+
+    private fun generation(server: Int) = generations[server] ?: 0
+
+    private fun slot(hash: Long): Int = ((hash xor (hash ushr HASH_SHIFT)).toInt()) and mask
+
+    private companion object {
+        const val WAYS = 4
+        const val NONE = -1
+        const val GENERATION_BITS = 8
+        const val GENERATION_MASK = 0xff
+        const val HASH_SHIFT = 32
+    }
+}
+
+/**
+ * Hashes of the blocks of a prompt: the hash of block n covers all bytes up to its end, so equal hashes mean equal
+ * prefixes. An incomplete last block is left out, and at most [maxBlocks] are hashed.
+ */
+fun prefixHashes(prompt: ByteArray, blockBytes: Int = 1_024, maxBlocks: Int = 32): LongArray {
+    var hash = FNV_OFFSET
+    return LongArray(minOf(maxBlocks, prompt.size / blockBytes)) { block ->
+        for (index in block * blockBytes until (block + 1) * blockBytes) {
+            hash = (hash xor prompt[index].toLong()) * FNV_PRIME
+        }
+        hash
+    }
+}
+
+private const val FNV_OFFSET = -0x340d631b7bdddcdbL
+private const val FNV_PRIME = 0x100000001b3L
--- a/router/src/main/kotlin/org/hickorytiller/router/CallerError.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerError.kt
@@ -2,6 +2,7 @@
 package org.hickorytiller.router
 
 import org.hickorytiller.admission.Refusal
+import org.hickorytiller.admission.Refused
 import org.hickorytiller.core.Verdict
 import org.hickorytiller.dispatch.DispatchFailure
 import org.hickorytiller.http.HttpStatus
@@ -15,19 +16,23 @@
     val retryAfterSeconds: Int? = null,
 ) {
     companion object {
-        fun of(refusal: Refusal) = when (refusal) {
+        private const val MS_PER_SECOND = 1_000L
+
+        private fun seconds(durationMs: Long) = ((durationMs + MS_PER_SECOND - 1) / MS_PER_SECOND).toInt()
+
+        fun of(refused: Refused) = when (refused.reason) {
             Refusal.RATE_LIMITED -> CallerError(
                 HttpStatus.TOO_MANY_REQUESTS,
-                refusal.code,
+                refused.reason.code,
                 "the customer is over its limit",
-                retryAfterSeconds = 1,
+                retryAfterSeconds = seconds(refused.retryAfterMs),
             )
-            Refusal.KEY_WITHDRAWN -> CallerError(HttpStatus.UNAUTHORIZED, refusal.code, "the key was withdrawn")
+            Refusal.KEY_WITHDRAWN -> CallerError(HttpStatus.UNAUTHORIZED, refused.reason.code, "the key was withdrawn")
             else -> CallerError(
                 HttpStatus.SERVICE_UNAVAILABLE,
-                refusal.code,
+                refused.reason.code,
                 "no capacity for this request",
-                retryAfterSeconds = 1,
+                retryAfterSeconds = seconds(refused.retryAfterMs),
             )
         }
 
--- a/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
@@ -10,9 +10,14 @@
 import arrow.core.right
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.job
 import org.hickorytiller.admission.Admission
 import org.hickorytiller.admission.Ticket
 import org.hickorytiller.balancing.BackendServerTable
+import org.hickorytiller.balancing.Choice
+import org.hickorytiller.balancing.prefixHashes
+import org.hickorytiller.configuration.PoolKind
 import org.hickorytiller.configuration.Route
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.ClassId
@@ -174,6 +179,17 @@
             val use = request.keyHash?.let { hash -> keys.attach(hash) { work.cancel(KeyWithdrawnException()) } }
             try {
                 work.await()
+            } catch (_: PreemptedException) {
+                request.answer.fail(
+                    connection,
+                    CallerError(
+                        HttpStatus.SERVICE_UNAVAILABLE,
+                        "preempted",
+                        "the request was stopped for a more urgent one",
+                        request.answer.verdict,
+                        retryAfterSeconds = 1,
+                    ),
+                )
             } catch (_: KeyWithdrawnException) {
                 request.answer.fail(
                     connection,
@@ -190,23 +206,33 @@
         }
 
     private suspend fun runOnBackendServer(connection: ServerConnection, request: CallerRequest): Boolean {
+        val ticket = ticket(request)
+        val work = currentCoroutineContext().job
         val server =
             admission
-                .admit(ticket(request)) { servers.choose(request.route.pool)?.also { servers.started(it.id) } }
-                .getOrElse { return connection.fail(CallerError.of(it)) }
-                ?: return connection.fail(
-                    CallerError(HttpStatus.SERVICE_UNAVAILABLE, "no_backend_server", "no backend server is available"),
-                )
+                .admit(
+                    ticket,
+                    start = { servers.choose(choice(request))?.also { servers.started(it.id) } },
+                    undo = { servers.ended(it.id) },
+                    preempt = { work.cancel(PreemptedException()) },
+                ).getOrElse { return connection.fail(CallerError.of(it)) }
+        var complete = false
         try {
-            return relay(connection, request, server)
+            return relay(connection, request, ticket, server).also { complete = it }
         } finally {
             servers.ended(server.id)
-            admission.grantFreeSlots(request.route.pool)
+            admission.ended(ticket, complete)
         }
     }
 
-    private suspend fun relay(connection: ServerConnection, request: CallerRequest, server: BackendServer): Boolean {
+    private suspend fun relay(
+        connection: ServerConnection,
+        request: CallerRequest,
+        ticket: Ticket,
+        server: BackendServer,
+    ): Boolean {
         val answer = request.answer
+        val timing = AnswerTiming(clock, servers, server.id)
         answer.verdict = Verdict.MAY_HAVE_RUN
         val failure =
             dispatcher
@@ -215,21 +241,45 @@
                     server,
                     onHead = { answer.start(connection, it) },
                     onChunk = { chunk ->
-                        admission.charge(request.route.pool, request.customer, 1)
+                        timing.chunk()
+                        admission.charge(ticket, 1)
                         connection.writeChunk(chunk)
                     },
-                ).leftOrNull() ?: return connection.endResponse()
+                ).onRight { timing.complete() }
+                .leftOrNull() ?: return connection.endResponse()
+        if (failure.code.startsWith("backend_")) timing.failed()
         return answer.fail(connection, CallerError.of(failure))
     }
 
     private fun ticket(request: CallerRequest): Ticket {
         val now = clock()
         val id = admission.newId()
-        val startBy = now + request.requestClass.timeoutMs
-        return Ticket(id, request.customer, request.requestClass, request.route.pool, now, startBy)
+        val requestClass = request.requestClass
+        val targetMs = requestClass.firstTokenTargetMs
+        val spareMs = maxOf(targetMs / LEAST_WAIT_PART, targetMs - servers.typicalFirstTokenMs(request.route.pool))
+        return Ticket(
+            id,
+            request.customer,
+            requestClass,
+            request.route.pool,
+            now,
+            startBy = now + spareMs,
+            idempotent = request.idempotent,
+        )
+    }
+
+    private fun choice(request: CallerRequest): Choice {
+        val topTier = configuration.state.document.classes.values.minOf { it.tier }
+        return Choice(
+            request.route.pool,
+            careful = !request.idempotent || request.requestClass.tier == topTier,
+            prefix = if (request.kind == PoolKind.ENGINE) prefixHashes(request.body) else LongArray(0),
+        )
     }
 
     private companion object {
+        // Part of the target that a request may wait even where the first token usually takes longer than the target.
+        const val LEAST_WAIT_PART = 4
         const val CHAT_PATH = "/v1/chat/completions"
         val OPEN_CUSTOMER = CustomerId("(open)")
         val NOT_READY =
@@ -242,5 +292,8 @@
     }
 }
 
+/** Ends the task that runs an idempotent request whose slot a more urgent tier needs. */
+internal class PreemptedException : kotlinx.coroutines.CancellationException("the request was preempted")
+
 /** Ends the task that runs a request under a withdrawn key. */
 internal class KeyWithdrawnException : kotlinx.coroutines.CancellationException("the key was withdrawn")
--- a/router/src/main/kotlin/org/hickorytiller/router/CallerRequest.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerRequest.kt
@@ -31,6 +31,9 @@
 ) {
     val answer = CallerAnswer()
 
+    /** Whether the request may be sent to a backend server twice. */
+    val idempotent: Boolean get() = route.idempotent || kind == PoolKind.ENGINE
+
     /** The request as the backend server gets it: only the fields it needs, and never the caller's key. */
     fun toDispatchRequest(): DispatchRequest {
         val passed = head.headers.fields.filter { it.name.lowercase() in PASSED_FIELDS }
@@ -42,7 +45,7 @@
         return DispatchRequest(
             RequestHead(head.method, head.target, Headers(passed + added)),
             body,
-            idempotent = route.idempotent || kind == PoolKind.ENGINE,
+            idempotent = idempotent,
             firstByteTimeoutMs = requestClass.timeoutMs,
             progressTimeoutMs = PROGRESS_TIMEOUT_MS,
         )
