--- a/router/src/main/kotlin/org/hickorytiller/router/ConfigurationTask.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/ConfigurationTask.kt
@@ -42,6 +42,7 @@
 ) {
     private val reader = ConfigurationReader()
     private var seenJumps = 0
+    private var lastWarning = ""
     private var retryDelayMs = FIRST_DELAY_MS
 
     // Encoding takes about 0.1 s at 24,000 customers, and many peers may ask for the same state after a restart.
@@ -102,7 +103,7 @@
     private suspend fun onPage(page: LogPage) {
         logReachable = true
         retryDelayMs = FIRST_DELAY_MS
-        if (page.end < reader.next) log.error { "the log ends at ${page.end}, before ${reader.next} that was read" }
+        if (page.end < reader.next) warnOnce("the log ends at ${page.end}, before ${reader.next} that was read")
         reader.onPage(page.earliest, page.end, page.records.map { StoredRecord(it.offset, it.data) }, ::enforce)
         enforceJump()
         stopped?.let { log.error { "configuration record ${it.offset} has the unknown schema ${it.schema}" } }
@@ -114,7 +115,7 @@
     private suspend fun askPeers(known: LogOffset): StateTransfer? {
         val bytes = withTimeoutOrNull(PEER_TIMEOUT_MS) { fetchFromPeers(known) } ?: return null
         return decodeTransfer(bytes).getOrElse { fault ->
-            log.warn { "a peer's configuration is unusable: $fault" }
+            warnOnce("a peer's configuration is unusable: $fault")
             null
         }
     }
@@ -126,6 +127,12 @@
         becomeReady("a peer")
     }
 
+    /** Logs [text] unless it repeats the last one: these faults come back with every read until they are repaired. */
+    private fun warnOnce(text: String) {
+        if (text != lastWarning) log.warn { text }
+        lastWarning = text
+    }
+
     private fun becomeReady(source: String) {
         if (ready) return
         ready = true
