--- a/balancing/src/main/kotlin/org/hickorytiller/balancing/BackendServerTable.kt
+++ b/balancing/src/main/kotlin/org/hickorytiller/balancing/BackendServerTable.kt
@@ -20,14 +20,14 @@
  * @property careful whether a loss of the server would do much harm: non-idempotent or top-tier work
  * @property prefix hashes of the blocks of the prompt, see [prefixHashes]
  * @property model model or adapter that has to be loaded; null if any server will do
- * @property excluded servers on which the request must not run, for example because it failed there
+ * @property mayUse whether the request may run on a server; false for example where it failed before
  */
 class Choice(
     val pool: PoolId,
     val careful: Boolean = false,
     val prefix: LongArray = NO_PREFIX,
     val model: ModelId? = null,
-    val excluded: Set<BackendServerId> = emptySet(),
+    val mayUse: (BackendServer) -> Boolean = { true },
 ) {
     private companion object {
         val NO_PREFIX = LongArray(0)
@@ -103,7 +103,7 @@
         var bestScore = Double.MAX_VALUE
         for (state in pool.states) {
             if (state.inFlight >= state.cap || !evictions.takesNewWork(state.server, now)) continue
-            if (choice.excluded.isNotEmpty() && state.server.id in choice.excluded) continue
+            if (!choice.mayUse(state.server)) continue
             val score = state.score(choice, if (pool.isHolder(state)) matched else 0.0, now)
             if (score < bestScore) {
                 best = state
--- a/router/src/main/kotlin/org/hickorytiller/router/Router.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/Router.kt
@@ -16,6 +16,8 @@
 import org.hickorytiller.core.monotonicClock
 import org.hickorytiller.core.text
 import org.hickorytiller.dispatch.Dispatcher
+import org.hickorytiller.dispatch.IntentAnswer
+import org.hickorytiller.dispatch.IntentWriter
 import org.hickorytiller.http.EventLoop
 import org.hickorytiller.http.HttpClient
 import org.hickorytiller.http.HttpLimits
@@ -24,6 +26,8 @@
 import org.hickorytiller.membership.AddressAnswer
 import org.hickorytiller.platform.LogClient
 import org.hickorytiller.platform.OrderClient
+import org.hickorytiller.usage.UsageCounter
+import java.util.UUID
 
 /** A router process. */
 internal class Router(private val settings: RouterSettings, private val loop: EventLoop) {
@@ -33,8 +37,9 @@
     private val orderClient = OrderClient(client, settings.orderAddress)
     private val keys = KeyRegistry()
     private val configuration = ConfigurationTask(logClient::read, keys)
+    private val run = ProcessId("${settings.host}-${UUID.randomUUID()}")
     private val shares: PeerShares =
-        PeerShares(ProcessId("${settings.host}/${ProcessHandle.current().pid()}")) { pool -> servers.slots(pool) }
+        PeerShares(run) { pool -> servers.slots(pool) }
     private val servers: BackendServerTable = BackendServerTable(monotonicClock, quotasOf = shares::quotas)
     private val admission =
         Admission(
@@ -45,8 +50,36 @@
             limits = Limits { customer, requestClass -> limitsOf(customer, requestClass) },
             shares = shares,
         )
+    private val intents =
+        IntentTask(
+            IntentWriter(settings.host, run),
+            settings.intentPartitions,
+            IntentLog(logClient::append, logClient::read),
+            monotonicClock,
+            queryPeer = { _, _, _ -> IntentAnswer.Unknown },
+        )
+    private val dispatcher = Dispatcher(client, monotonicClock, run)
+    private val usage = UsageCounter(settings.host.value, run.value, monotonicClock())
+    private val usageTask = UsageTask(usage, monotonicClock, logClient::append)
+    private val slices =
+        RequestSlices(
+            admission,
+            servers,
+            dispatcher,
+            intents,
+            topTier = { configuration.state.document.classes.values.minOf { it.tier } },
+            reportServed = { request, served ->
+                usage.add(request.customer, request.requestClass.id, request.route.pool, served)
+            },
+        )
+    private val currentDocument: CurrentDocument = { configuration.state.document.takeIf { configuration.ready } }
     private val frontEnd =
-        CallerFrontEnd(monotonicClock, configuration, keys, admission, servers, Dispatcher(client)) {
+        CallerFrontEnd(
+            currentDocument,
+            keys,
+            RequestResolver(monotonicClock, currentDocument, keys),
+            RequestRunner(monotonicClock, slices, loop.scope),
+        ) {
             AddressAnswer(listOf(settings.callerAddress.text()), settings.addressLifetimeMs)
         }
     private val admin = AdminEndpoint(settings, configuration, keys)
@@ -54,9 +87,12 @@
     /** Starts listening and following the platform. */
     fun start() {
         loop.scope.launch { configuration.run() }
+        loop.scope.launch { intents.run() }
+        loop.scope.launch { usageTask.run() }
         loop.scope.launch {
             followBackendServers(orderClient::backendServers, servers) {
                 shares.serversChanged()
+                moveFromReclaimed(dispatcher, servers, monotonicClock)
                 configuration.state.document.pools.keys.forEach(admission::grantFreeSlots)
             }
         }
--- a/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
@@ -15,6 +15,7 @@
  * @property adminAddress where operators connect
  * @property peerAddress where peers connect
  * @property operatorTokenHash SHA-256 of the token of operators; null admits connections from this host only
+ * @property intentPartitions number of streams of intents; the same for all routers of a deployment
  */
 data class RouterSettings(
     val host: HostId,
@@ -27,6 +28,7 @@
     val hostListAddress: InetSocketAddress,
     val addressLifetimeMs: Long,
     val operatorTokenHash: KeyHash? = null,
+    val intentPartitions: Int,
 ) {
     companion object {
         /** Reads the settings from TOML, or lists every fault. */
@@ -47,6 +49,7 @@
                     "a SHA-256 hash in lower-case hexadecimal",
                     ::parseKeyHash,
                 ),
+                intentPartitions = it.long("intentPartitions", 1L..256L, default = 1).toInt(),
             )
         }
     }
--- a/router/src/test/kotlin/org/hickorytiller/router/AdminEndpointTest.kt
+++ b/router/src/test/kotlin/org/hickorytiller/router/AdminEndpointTest.kt
@@ -48,7 +48,7 @@
 
     private fun withAdmin(tokenHash: KeyHash? = null, isReady: Boolean = true, test: suspend (Admin) -> Unit) = EventLoop().use { loop ->
         val any = InetSocketAddress("127.0.0.1", 0)
-        val settings = RouterSettings(HostId("h"), FailureDomain("z"), any, any, any, any, any, any, 1_000, tokenHash)
+        val settings = RouterSettings(HostId("h"), FailureDomain("z"), any, any, any, any, any, any, 1_000, tokenHash, intentPartitions = 1)
         val keys = KeyRegistry()
         val record = encodeRecord(SectionProposed("p", Section.CUSTOMERS.key, -1, "o", "[customers.clinic]\nkeyHashes = [\"${hash.value}\"]\n"))
         val more = encodeRecord(KeyWithdrawn(hashKey("old").value))
--- a/usage/src/main/kotlin/org/hickorytiller/usage/UsageCounter.kt
+++ b/usage/src/main/kotlin/org/hickorytiller/usage/UsageCounter.kt
@@ -10,8 +10,14 @@
 import org.hickorytiller.core.PoolId
 import org.hickorytiller.core.TimeMs
 
-/** What one request was served. A request that was refused or not run has none. */
-data class Served(val promptTokens: Long, val generatedTokens: Long, val busyMs: Long)
+/**
+ * What a request was served, counted as it is served, so that a killed router loses no more than its last interval. A
+ * request that was refused or not run has none.
+ *
+ * @property requests 1 once for each request
+ * @property busyMs time for which the request used a slot
+ */
+data class Served(val promptTokens: Long, val generatedTokens: Long, val busyMs: Long, val requests: Long = 1)
 
 /**
  * Usage of one run of a router. At most [maxKeys] combinations of customer, class and pool are kept between two
@@ -46,7 +52,8 @@
             return
         }
         val before = entry ?: UsageEntry(customer.value, requestClass.value, pool.value, 0, 0, 0)
-        counts[key] = before + UsageEntry("", "", "", 1, served.promptTokens, served.generatedTokens, served.busyMs)
+        counts[key] =
+            before + UsageEntry("", "", "", served.requests, served.promptTokens, served.generatedTokens, served.busyMs)
     }
 
     /** The flush to append at [now]: the one not acknowledged yet, or the next; null if nothing was served. */
