Keep retries and grants from going to waste, and state the idempotency window

Cause: a retry went back to the server that had just failed after 100 ms, although another one was about to become free; a grant to a request that no free server may run was lost until the next slot became free; closed idle connections stayed in the client's pool; a streamed answer to an HTTP/1.0 caller used chunks.

Ruled out: waiting the whole 2.5 s in a pool with one server; the dispatcher now asks whether another server exists.

--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/DispatchRequest.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/DispatchRequest.kt
@@ -33,6 +33,9 @@
 /** Waits for a slot on a server that passes the filter; null if there is none in time. */
 typealias AcquireSlot = suspend (ServerFilter) -> BackendServer?
 
+/** Whether the pool has a server that passes the filter and may receive new work, with a free slot or not. */
+typealias ServerExists = (ServerFilter) -> Boolean
+
 /** Gives the slot on a server back and tells how the attempt went. */
 typealias ReleaseSlot = (BackendServer, AttemptReport) -> Unit
 
@@ -64,6 +67,7 @@
 /** The slots that a request may use and what is counted for it. */
 class DispatchContext(
     val acquire: AcquireSlot,
+    val exists: ServerExists,
     val release: ReleaseSlot,
     val sink: AnswerSink,
     val onTokens: OnTokens = { _, _ -> },
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
@@ -102,14 +102,12 @@
         private suspend fun acquire(): BackendServer? {
             if (attempts == 0 && !suspects.isSuspect(request.fingerprint)) return context.acquire { isAllowed(it) }
             val waitUntil = minOf(clock() + RETRY_WAIT_MS, request.deadline)
-            while (true) {
+            while (clock() < waitUntil && context.exists { it.id !in tried }) {
                 context.acquire { it.id !in tried && isAllowed(it) }?.let { return it }
-                // A server that failed before is better than none, once others had time to become free.
                 delay(RETRY_DELAY_MS)
-                if (clock() >= request.deadline) return null
-                if (attempts > 0) context.acquire(::isAllowed)?.let { return it }
-                if (clock() >= waitUntil) return null
             }
+            // A server that failed before is better than none, once the others had time to become free.
+            return if (clock() < request.deadline) context.acquire(::isAllowed) else null
         }
 
         private fun isAllowed(server: BackendServer) = suspects.mayRunOn(server, request.fingerprint, clock())
@@ -219,7 +217,9 @@
     private companion object {
         const val SERVER_ERRORS = 500
         const val TOO_MANY_REQUESTS = 429
-        const val RETRY_WAIT_MS = 5_000L
+
+        // Longer than the time for which a suspect avoids a failure domain that lost a server.
+        const val RETRY_WAIT_MS = 2_500L
         const val RETRY_DELAY_MS = 100L
         val ENDS_REQUEST = setOf(FailureKind.CALLER_GONE, FailureKind.DEADLINE, FailureKind.ANSWER_TOO_LARGE)
     }
--- a/dispatch/src/test/kotlin/org/hickorytiller/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/org/hickorytiller/dispatch/DispatcherTest.kt
@@ -69,6 +69,7 @@
 
     private fun context(servers: List<BackendServer>, relayed: Relayed) = DispatchContext(
         acquire = { mayUse -> servers.firstOrNull(mayUse) },
+        exists = { servers.any(it) },
         release = { _, report -> relayed.reports += report },
         sink = AnswerSink(start = { true }, event = { relayed.events.append(String(it)).let { true } }),
         onTokens = { _, generated -> relayed.tokens += generated },
--- a/http/src/main/kotlin/org/hickorytiller/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/HttpClient.kt
@@ -47,7 +47,9 @@
                 .handler(initializer)
                 .connect(address)
         val channel = future.awaitChannel() ?: return HttpFault.UNREACHABLE.left()
-        return ClientConnection(channel, queue, decoder, limits, address).right()
+        val connection = ClientConnection(channel, queue, decoder, limits, address)
+        channel.closeFuture().addListener { forget(connection) }
+        return connection.right()
     }
 
     /** An idle connection to [address], or a new one. */
@@ -63,9 +65,8 @@
 
     /** Keeps [connection] for a later request if its last exchange was complete, otherwise closes it. */
     fun release(connection: ClientConnection) {
-        val connections = idle.getOrPut(connection.address) { ArrayDeque() }
-        if (connection.isReusable && connections.size < MAX_IDLE_PER_ADDRESS) {
-            connections.addLast(connection)
+        if (connection.isReusable && (idle[connection.address]?.size ?: 0) < MAX_IDLE_PER_ADDRESS) {
+            idle.getOrPut(connection.address) { ArrayDeque() }.addLast(connection)
         } else {
             connection.close()
         }
@@ -91,6 +92,12 @@
         }
     }
 
+    private fun forget(connection: ClientConnection) {
+        val connections = idle[connection.address] ?: return
+        connections.remove(connection)
+        if (connections.isEmpty()) idle.remove(connection.address)
+    }
+
     private suspend fun ChannelFuture.awaitChannel(): Channel? = suspendCancellableCoroutine { continuation ->
         addListener {
             if (continuation.isActive) {
--- a/http/src/main/kotlin/org/hickorytiller/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/ServerConnection.kt
@@ -44,6 +44,9 @@
     private var bodyPending = false
     private var continuePending = false
     private var announcedBytes = 0L
+
+    // A peer that speaks HTTP/1.0 does not know chunks; the end of a streamed response is the end of the connection.
+    private var endsByClose = false
     private var lastWrite: ChannelFuture? = null
 
     /** Whether a part of a request was received, but not yet the whole request. */
@@ -98,8 +101,9 @@
     /** Sends the head of a response whose body follows in chunks. Returns false if the connection is gone. */
     suspend fun startResponse(status: Int, headers: Headers): Boolean {
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        if (endsByClose) closeAfterResponse = true
         response.fill(headers)
-        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        if (!endsByClose) response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         return write(response)
     }
 
@@ -138,6 +142,7 @@
 
     private fun accept(head: RequestHead): Either<HttpFault, RequestHead> {
         if (!head.keepAlive) closeAfterResponse = true
+        endsByClose = head.protocol == "HTTP/1.0"
         val expectation = head.headers["expect"]
         announcedBytes = head.headers["content-length"]?.toLongOrNull() ?: 0
         bodyPending = announcedBytes > 0 || head.headers["transfer-encoding"] != null
--- a/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
@@ -149,7 +149,7 @@
         private var promptTokens = 0
 
         suspend fun run(): Either<Ended.Failed, Completed> {
-            val context = DispatchContext(::acquire, ::release, sink, ::use)
+            val context = DispatchContext(::acquire, ::exists, ::release, sink, ::use)
             val completed = slices.dispatcher.run(request.toDispatch, context).getOrElse {
                 return Ended.Failed(errorOf(it)).left()
             }
@@ -159,19 +159,22 @@
         }
 
         private suspend fun acquire(mayUse: ServerFilter): BackendServer? {
-            refusal = null
-            val server = slices.admission
-                .admit(ticket()) {
-                    slices.servers.choose(request.route.pool, mayUse)?.also { slices.servers.started(it.id) }
-                }
-                .getOrElse {
-                    refusal = it
-                    null
-                }
+            val pool = request.route.pool
+            var server: BackendServer? = null
+            try {
+                slices.admission
+                    .admit(ticket()) { slices.servers.choose(pool, mayUse)?.also { slices.servers.started(it.id) } }
+                    .fold({ refusal = it }, { server = it })
+            } finally {
+                // The slot that was granted is not used, since no free server may run this request or it was cancelled.
+                if (server == null) slices.admission.grantFreeSlots(pool)
+            }
             if (server != null) onSlot()
             return server
         }
 
+        private fun exists(mayUse: ServerFilter) = slices.servers.available(request.route.pool).any(mayUse)
+
         @Suppress("UnusedParameter") // the report is for the balancing slice, which judges stragglers by it
         private fun release(server: BackendServer, report: AttemptReport) {
             slices.servers.ended(server.id)
--- a/router/src/main/kotlin/org/hickorytiller/router/Router.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/Router.kt
@@ -9,6 +9,7 @@
 import org.hickorytiller.core.text
 import org.hickorytiller.dispatch.Dispatcher
 import org.hickorytiller.dispatch.IntentAnswer
+import org.hickorytiller.dispatch.IntentLimits
 import org.hickorytiller.dispatch.IntentWriter
 import org.hickorytiller.http.EventLoop
 import org.hickorytiller.http.HttpClient
@@ -38,6 +39,7 @@
             IntentLog(logClient::append, logClient::read),
             monotonicClock,
             queryPeer = { _, _, _ -> IntentAnswer.Unknown },
+            IntentLimits(windowMs = settings.idempotencyWindowMs),
         )
     private val dispatcher = Dispatcher(client, monotonicClock, run)
     private val slices = RequestSlices(admission, servers, dispatcher, intents)
--- a/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
@@ -13,6 +13,7 @@
  * @property adminAddress where operators connect
  * @property peerAddress where peers connect
  * @property intentPartitions number of streams of intents; the same for all routers of a deployment
+ * @property idempotencyWindowMs how long an `Idempotency-Key` is remembered: the log's retention less one hour
  */
 data class RouterSettings(
     val host: HostId,
@@ -25,6 +26,7 @@
     val hostListAddress: InetSocketAddress,
     val addressLifetimeMs: Long,
     val intentPartitions: Int,
+    val idempotencyWindowMs: Long,
 ) {
     companion object {
         /** Reads the settings from TOML, or lists every fault. */
@@ -41,6 +43,7 @@
                 hostListAddress = platform.address("hostListAddress"),
                 addressLifetimeMs = it.long("addressLifetimeMs", 1_000L..600_000L, default = 10_000),
                 intentPartitions = it.long("intentPartitions", 1L..256L, default = 1).toInt(),
+                idempotencyWindowMs = it.long("idempotencyWindowMs", 60_000L..604_800_000L, default = 82_800_000),
             )
         }
     }
--- a/router/src/test/kotlin/org/hickorytiller/router/CallerFrontEndTest.kt
+++ b/router/src/test/kotlin/org/hickorytiller/router/CallerFrontEndTest.kt
@@ -4,6 +4,7 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.inspectors.forAll
 import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.ints.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
@@ -11,6 +12,9 @@
 import io.kotest.matchers.string.shouldStartWith
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeout
+import org.hickorytiller.admission.Refusal
+import org.hickorytiller.dispatch.FailureKind
+import org.hickorytiller.dispatch.IntentRefusal
 import org.hickorytiller.keys.hashKey
 import org.hickorytiller.standins.EngineControl
 import org.hickorytiller.standins.PlainServiceControl
@@ -140,6 +144,34 @@
         }
     }
 
+    @Test
+    fun `guards against chunks for a caller that speaks HTTP 1_0`() {
+        val answer = world.exchange(world.chat(true).replace("HTTP/1.1", "HTTP/1.0"))
+        world.tokens(answer) shouldBe List(6) { "t$it" }
+        answer.lowercase().contains("chunked") shouldBe false
+        answer.trimEnd().endsWith("[DONE]") shouldBe true
+    }
+
+    @Test
+    fun `guards against a grant that is lost on a request which no free server may run`() {
+        world.onPlatform { world.engines[0].control = world.engines[0].control.copy(errorStatus = 503) }
+        world.onPlatform { world.engines[1].control = EngineControl(firstTokenMs = 100, betweenTokensMs = 5) }
+        val sockets = List(8) { n -> world.connect().also { it.getOutputStream().write(world.chat(true, 6, "r$n").toByteArray()) } }
+        sockets.map(world::readToEnd).forAll { world.tokens(it) shouldBe List(6) { n -> "t$n" } }
+    }
+
+    @Test
+    fun `guards against every error code that callers can get without its section in the documentation`() {
+        val documented = java.io.File("../docs/errors.md").readLines().filter { it.startsWith("### ") }.map { it.removePrefix("### ") }
+        val sources = java.io.File("src/main/kotlin/org/hickorytiller/router").listFiles()!!
+            .filter { it.name != "AdminEndpoint.kt" }.joinToString("") { it.readText() }
+        val direct = Regex("(?:badRequest|unavailable)\\(\\s*\"([a-z_]+)\"").findAll(sources).map { it.groupValues[1] }
+        val written = Regex("HttpStatus\\.[A-Z_]+,\\s*\"([a-z_]+)\"").findAll(sources).map { it.groupValues[1] }
+        val codes = direct + written + FailureKind.entries.map { it.code } + IntentRefusal.Undecided.entries.map { it.code } +
+            Refusal.entries.map { it.code } + "too_many_connections"
+        codes.toSet().forAll { documented shouldContain it }
+    }
+
     @Test
     fun `guards against a stalled engine that keeps its requests`() {
         world.onPlatform { world.engines[0].control = world.engines[0].control.copy(stalled = true) }
