Ask a second server when the first token of an idempotent request is late

Cause: a straggling engine keeps a request until the progress timeout, while another engine is free.

Ruled out: a hedge that waits in the queue (it would delay other requests); a hedge outside of the retry budget.

Change: with the setting hedgeAfterMs (off by default) the dispatcher opens a second exchange on a slot that is free and for which nobody waits. The answer that begins first wins, a failure does not win over an open attempt, the connection of the other is closed. Requests that must not run twice are never hedged.

Conclusion: correct over scripted servers; its effect on latency has not been measured. Both slots count until the attempt ends.

--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/DispatchRequest.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/DispatchRequest.kt
@@ -25,6 +25,9 @@
 ) {
     /** Times after which an attempt counts as stalled. */
     var timeouts: ProgressTimeouts = ProgressTimeouts.of(requestClass)
+
+    /** Time to the first token after which a second server is asked too; null for never. Ignored if not idempotent. */
+    var hedgeAfterMs: Long? = null
 }
 
 /** Says which servers a request may be sent to. */
@@ -33,6 +36,9 @@
 /** Waits for a slot on a server that passes the filter; null if there is none in time. */
 typealias AcquireSlot = suspend (ServerFilter) -> BackendServer?
 
+/** Takes a slot that is free and for which nobody waits; null if there is none. */
+typealias AcquireNow = (ServerFilter) -> BackendServer?
+
 /** Whether the pool has a server that passes the filter and may receive new work, with a free slot or not. */
 typealias ServerExists = (ServerFilter) -> Boolean
 
@@ -71,4 +77,5 @@
     val release: ReleaseSlot,
     val sink: AnswerSink,
     val onTokens: OnTokens = { _, _ -> },
+    val acquireNow: AcquireNow = { null },
 )
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
@@ -12,6 +12,8 @@
 import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.Clock
@@ -52,6 +54,9 @@
     suspend fun run(request: DispatchRequest, context: DispatchContext): Either<DispatchFailure, Completed> =
         Run(request, context).toEnd()
 
+    /** How an exchange began. */
+    private data class Opened(val exchange: Exchange, val opening: Either<FailureKind, Opening>)
+
     /** The progress of one request over all its attempts. */
     private inner class Run(private val request: DispatchRequest, private val context: DispatchContext) {
         private val position = StreamPosition()
@@ -63,6 +68,9 @@
         private var started = false
         private var chargedPrompt = 0
         private var firstTokenMs: Long? = null
+
+        // The server whose answer was relayed; another one than the attempt's if a hedge was faster.
+        private var relayedBy: BackendServer? = null
         private var completed: Opening? = null
 
         suspend fun toEnd(): Either<DispatchFailure, Completed> {
@@ -74,6 +82,7 @@
                 verdict = maxOf(verdict, failure.verdict)
                 counts = counts.plus(failure.kind)
                 tried += server.id
+                relayedBy?.let { tried += it.id }
                 last = failure
                 if (!allowsRetry(failure.kind)) return giveUp(failure)
             }
@@ -133,9 +142,10 @@
 
         // A pooled connection may have been closed by the server while it was idle, which says nothing about it.
         private suspend fun onCurrentConnections(server: BackendServer): FailureKind? {
+            relayedBy = null
             val kind = interruptible(server) { relay(newExchange(server), onNewConnection = false) }
             if (kind != FailureKind.STALE_CONNECTION && kind != FailureKind.LOST) return kind
-            if (crashProbe.probe(server)) return FailureKind.LOST
+            if (crashProbe.probe(relayedBy ?: server)) return FailureKind.LOST
             if (kind == FailureKind.LOST) return kind
             return interruptible(server) { relay(newExchange(server), onNewConnection = true) }
         }
@@ -161,17 +171,60 @@
             }
 
         private suspend fun relay(exchange: Exchange, onNewConnection: Boolean): FailureKind? {
+            position.resume()
+            val opened = mutableListOf(exchange)
             try {
-                position.resume()
-                val opening = exchange.open(position.tokens, onNewConnection).getOrElse { return it }
-                return when (opening) {
-                    is Opening.Whole -> passWhole(opening)
-                    is Opening.Streamed -> passStream(exchange, opening)
+                val (winner, opening) = openFastest(opened, onNewConnection)
+                relayedBy = winner.server
+                return when (val answer = opening.getOrElse { return it }) {
+                    is Opening.Whole -> passWhole(answer)
+                    is Opening.Streamed -> passStream(winner, answer)
                 }
             } finally {
                 firstTokenMs = exchange.firstTokenMs
-                exchange.end()
+                opened.forEach { it.end() }
+                opened.drop(1).forEach(::releaseHedge)
+            }
+        }
+
+        /**
+         * Opens the exchange in [opened], and if it is slow a second one, which is added to the list. The one whose
+         * answer begins first wins, and the other one is cancelled.
+         */
+        private suspend fun openFastest(opened: MutableList<Exchange>, onNewConnection: Boolean): Opened =
+            coroutineScope {
+                val exchange = opened.single()
+                val first = async { exchange.open(position.tokens, onNewConnection) }
+                val afterMs = request.hedgeAfterMs?.takeIf { request.isIdempotent }
+                if (afterMs == null || withTimeoutOrNull(afterMs) { first.join() } != null) {
+                    return@coroutineScope Opened(exchange, first.await())
+                }
+                val hedge = openHedge(exchange.server) ?: return@coroutineScope Opened(exchange, first.await())
+                opened += hedge
+                val second = async { hedge.open(position.tokens, onNewConnection = false) }
+                val firstEnded = select {
+                    first.onJoin { true }
+                    second.onJoin { false }
+                }
+                val attempts = listOf(exchange to first, hedge to second).let { if (firstEnded) it else it.reversed() }
+                // A failure does not win over an attempt that is still open.
+                val (winner, loser) = if (attempts[0].second.await().isRight()) attempts else attempts.reversed()
+                val result = winner.second.await()
+                loser.second.cancel()
+                loser.first.end()
+                Opened(winner.first, result)
             }
+
+        private fun openHedge(except: BackendServer): Exchange? {
+            if (!policy.allowsHedge(request.requestClass.id)) return null
+            val server = context.acquireNow { it.id != except.id && it.id !in tried && isAllowed(it) } ?: return null
+            suspects.started(server.id, request.fingerprint)
+            return newExchange(server)
+        }
+
+        private fun releaseHedge(hedge: Exchange) {
+            suspects.ended(hedge.server.id, request.fingerprint)
+            context.release(hedge.server, AttemptReport(hedge.firstTokenMs, 0, hedge.durationMs, failure = null))
         }
 
         private fun passWhole(opening: Opening.Whole): FailureKind? {
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/RetryPolicy.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/RetryPolicy.kt
@@ -25,6 +25,9 @@
     /** Records the first attempt of a request, which earns a part of a retry. */
     fun firstAttempt(requestClass: ClassId) = budget.deposit(requestClass)
 
+    /** Whether a second server may be asked while the first is slow; it counts as a retry. */
+    fun allowsHedge(requestClass: ClassId): Boolean = budget.withdraw(requestClass)
+
     /**
      * Whether the request may be sent to another server after its last attempt ended with [kind]. [counts] includes
      * that attempt; [verdict] is the one over all attempts, since an earlier one may have run even if the last did not.
--- a/dispatch/src/test/kotlin/org/hickorytiller/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/org/hickorytiller/dispatch/DispatcherTest.kt
@@ -70,6 +70,7 @@
     private fun context(servers: List<BackendServer>, relayed: Relayed) = DispatchContext(
         acquire = { mayUse -> servers.firstOrNull(mayUse) },
         exists = { servers.any(it) },
+        acquireNow = { mayUse -> servers.firstOrNull(mayUse) },
         release = { _, report -> relayed.reports += report },
         sink = AnswerSink(start = { true }, event = { relayed.events.append(String(it)).let { true } }),
         onTokens = { _, generated -> relayed.tokens += generated },
@@ -305,6 +306,31 @@
         }
     }
 
+    @Test
+    fun `guards against a hedge that repeats tokens, keeps a slot, or is sent for a request that must not run twice`() {
+        fun slow(received: Received) = Script("", restAfterMs = 400, rest = stream(received))
+        ScriptedServer(::slow).use { first ->
+            ScriptedServer { Script(stream(it)) }.use { second ->
+                val all = servers(listOf(first.address, second.address))
+                val relayed = Relayed()
+                val hedged = request(streamed = true).apply { hedgeAfterMs = 50 }
+                onLoop { dispatcher().run(hedged, context(all, relayed)) }.isRight() shouldBe true
+                relayed.events.toString() shouldBe (0 until 5).joinToString("") { token(it) } + "data: [DONE]\n\n"
+                relayed.reports shouldHaveSize 2
+                second.received shouldHaveSize 1
+                val once = request(idempotent = false, streamed = true).apply { hedgeAfterMs = 50 }
+                onLoop { dispatcher().run(once, context(all, Relayed())) }.isRight() shouldBe true
+                second.received shouldHaveSize 1
+            }
+            ScriptedServer { Script("", closes = true) }.use { second ->
+                val hedged = request(streamed = true).apply { hedgeAfterMs = 50 }
+                val relayed = Relayed()
+                onLoop { dispatcher().run(hedged, context(servers(listOf(first.address, second.address)), relayed)) }.isRight() shouldBe true
+                relayed.tokens shouldBe 5
+            }
+        }
+    }
+
     @Test
     fun `guards against retries without bound`() {
         ScriptedServer { Script("", closes = true) }.use { server ->
--- a/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
@@ -44,12 +44,17 @@
 /** Receives what requests use, as they use it. */
 internal typealias ReportUse = (RequestUse) -> Unit
 
-/** The slices that a request passes through. */
+/**
+ * The slices that a request passes through.
+ *
+ * @property hedgeAfterMs time to the first token after which a second server is asked too; null for never
+ */
 internal class RequestSlices(
     val admission: Admission,
     val servers: BackendServerTable,
     val dispatcher: Dispatcher,
     val intents: IntentTask,
+    val hedgeAfterMs: Long? = null,
     val reportUse: ReportUse = {},
 )
 
@@ -149,8 +154,9 @@
         private var promptTokens = 0
 
         suspend fun run(): Either<Ended.Failed, Completed> {
-            val context = DispatchContext(::acquire, ::exists, ::release, sink, ::use)
-            val completed = slices.dispatcher.run(request.toDispatch, context).getOrElse {
+            val context = DispatchContext(::acquire, ::exists, ::release, sink, ::use, ::acquireNow)
+            val dispatched = request.toDispatch.apply { hedgeAfterMs = slices.hedgeAfterMs }
+            val completed = slices.dispatcher.run(dispatched, context).getOrElse {
                 return Ended.Failed(errorOf(it)).left()
             }
             if (promptTokens == 0) use(request.chat?.estimatedPromptTokens ?: 0, 0)
@@ -173,6 +179,11 @@
             return server
         }
 
+        private fun acquireNow(mayUse: ServerFilter): BackendServer? {
+            if (slices.admission.waiting(request.route.pool) > 0) return null
+            return slices.servers.choose(request.route.pool, mayUse)?.also { slices.servers.started(it.id) }
+        }
+
         private fun exists(mayUse: ServerFilter) = slices.servers.available(request.route.pool).any(mayUse)
 
         @Suppress("UnusedParameter") // the report is for the balancing slice, which judges stragglers by it
--- a/router/src/main/kotlin/org/hickorytiller/router/Router.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/Router.kt
@@ -42,7 +42,7 @@
             IntentLimits(windowMs = settings.idempotencyWindowMs),
         )
     private val dispatcher = Dispatcher(client, monotonicClock, run)
-    private val slices = RequestSlices(admission, servers, dispatcher, intents)
+    private val slices = RequestSlices(admission, servers, dispatcher, intents, settings.hedgeAfterMs)
     private val currentDocument: CurrentDocument = { configuration.state.document.takeIf { configuration.ready } }
     private val frontEnd =
         CallerFrontEnd(
--- a/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
@@ -14,6 +14,8 @@
  * @property peerAddress where peers connect
  * @property intentPartitions number of streams of intents; the same for all routers of a deployment
  * @property idempotencyWindowMs how long an `Idempotency-Key` is remembered: the log's retention less one hour
+ * @property hedgeAfterMs time to the first token after which a second server is asked too for an idempotent request;
+ *   null for never, which is the default
  */
 data class RouterSettings(
     val host: HostId,
@@ -27,6 +29,7 @@
     val addressLifetimeMs: Long,
     val intentPartitions: Int,
     val idempotencyWindowMs: Long,
+    val hedgeAfterMs: Long?,
 ) {
     companion object {
         /** Reads the settings from TOML, or lists every fault. */
@@ -44,6 +47,7 @@
                 addressLifetimeMs = it.long("addressLifetimeMs", 1_000L..600_000L, default = 10_000),
                 intentPartitions = it.long("intentPartitions", 1L..256L, default = 1).toInt(),
                 idempotencyWindowMs = it.long("idempotencyWindowMs", 60_000L..604_800_000L, default = 82_800_000),
+                hedgeAfterMs = it.long("hedgeAfterMs", 0L..600_000L, default = 0).takeIf { afterMs -> afterMs > 0 },
             )
         }
     }
--- a/router/src/test/kotlin/org/hickorytiller/router/CallerWorld.kt
+++ b/router/src/test/kotlin/org/hickorytiller/router/CallerWorld.kt
@@ -102,7 +102,7 @@
             { _, _, _ -> IntentAnswer.Unknown },
         )
         dispatcher = Dispatcher(client, monotonicClock, run, onWasted = wasted::add)
-        val slices = RequestSlices(admission, servers, dispatcher, intents, uses::add)
+        val slices = RequestSlices(admission, servers, dispatcher, intents, hedgeAfterMs = null, reportUse = uses::add)
         val frontEnd = CallerFrontEnd(
             { document },
             keys,
