--- a/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
@@ -15,6 +15,7 @@
 import org.hickorytiller.balancing.BackendServerTable
 import org.hickorytiller.balancing.Choice
 import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.Clock
 import org.hickorytiller.core.Tier
 import org.hickorytiller.core.Verdict
@@ -35,7 +36,11 @@
 /** Receives what a request was served, as it is served. */
 internal typealias ReportServed = (CallerRequest, Served) -> Unit
 
-/** The slices that a request passes through. */
+/**
+ * The slices that a request passes through.
+ *
+ * @property hedgeAfterMs time to the first token after which a second server is asked too; null for never
+ */
 internal class RequestSlices(
     val admission: Admission,
     val servers: BackendServerTable,
@@ -43,6 +48,7 @@
     val intents: IntentTask,
     val topTier: () -> Tier,
     val reportServed: ReportServed,
+    val hedgeAfterMs: Long? = null,
 )
 
 /** Runs requests. Confined to the event loop; [scope] outlives the connections of callers. */
@@ -139,11 +145,14 @@
     ) {
         private var refused: Refused? = null
         private var slot: Slot? = null
+        private val slots = HashMap<BackendServerId, Slot>()
         private var promptTokens = 0
 
         suspend fun run(): Either<Ended.Failed, Completed> {
-            val context = DispatchContext(::acquire, ::release, sink, ::use) { slot?.began(it) }
-            val completed = slices.dispatcher.run(request.toDispatch, context).getOrElse {
+            val context =
+                DispatchContext(::acquire, ::exists, ::release, sink, ::use, { slot?.began(it) }, ::acquireNow)
+            val dispatched = request.toDispatch.apply { hedgeAfterMs = slices.hedgeAfterMs }
+            val completed = slices.dispatcher.run(dispatched, context).getOrElse {
                 return Ended.Failed(errorOf(it)).left()
             }
             if (promptTokens == 0) use(request.chat?.estimatedPromptTokens ?: 0, 0)
@@ -166,16 +175,29 @@
                         return null
                     }
             slot = next
+            slots[server.id] = next
             onSlot()
             return server
         }
 
+        // A hedge takes a slot only if nobody waits for one, so it needs no ticket.
+        private fun acquireNow(mayUse: ServerFilter): BackendServer? {
+            if (slices.admission.waiting(request.route.pool) > 0) return null
+            return slices.servers.choose(choice(mayUse))?.also { slices.servers.started(it.id) }
+        }
+
+        private fun exists(mayUse: ServerFilter) = slices.servers.available(request.route.pool).any(mayUse)
+
         private fun release(server: BackendServer, report: AttemptReport) {
             slices.servers.ended(server.id)
             slices.servers.observe(server.id, report)
             report(busyMs = report.durationMs)
-            slot?.let { slices.admission.ended(it.ticket, complete = report.failure == null) }
-            slot = null
+            val released = slots.remove(server.id)
+            if (released == null) {
+                slices.admission.grantFreeSlots(request.route.pool)
+            } else {
+                slices.admission.ended(released.ticket, complete = report.failure == null)
+            }
         }
 
         private fun use(prompt: Int, generated: Int) {
--- a/router/src/main/kotlin/org/hickorytiller/router/Router.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/Router.kt
@@ -17,6 +17,7 @@
 import org.hickorytiller.core.text
 import org.hickorytiller.dispatch.Dispatcher
 import org.hickorytiller.dispatch.IntentAnswer
+import org.hickorytiller.dispatch.IntentLimits
 import org.hickorytiller.dispatch.IntentWriter
 import org.hickorytiller.http.EventLoop
 import org.hickorytiller.http.HttpClient
@@ -57,6 +58,7 @@
             IntentLog(logClient::append, logClient::read),
             monotonicClock,
             queryPeer = { _, _, _ -> IntentAnswer.Unknown },
+            IntentLimits(windowMs = settings.idempotencyWindowMs),
         )
     private val dispatcher = Dispatcher(client, monotonicClock, run)
     private val usage = UsageCounter(settings.host.value, run.value, monotonicClock())
@@ -71,6 +73,7 @@
             reportServed = { request, served ->
                 usage.add(request.customer, request.requestClass.id, request.route.pool, served)
             },
+            hedgeAfterMs = settings.hedgeAfterMs,
         )
     private val currentDocument: CurrentDocument = { configuration.state.document.takeIf { configuration.ready } }
     private val frontEnd =
