Say when the base offsets of a document are out of date

Cause: an operator who applies a file, edits it again and applies it again is told of a conflict with their own change. Ruled out: rewriting the comment in the operator's file. Conclusion: none further.

--- a/hickoryctl/src/main/kotlin/org/hickorytiller/hickoryctl/ApplyCommand.kt
+++ b/hickoryctl/src/main/kotlin/org/hickorytiller/hickoryctl/ApplyCommand.kt
@@ -41,6 +41,7 @@
         val results = publication.publish(Section.entries.filter { it in parsed.sections })
         results.forEach { if (!asJson) context.print("${it.section.key}: ${it.text()}") }
         publication.trouble?.let { context.printError(it.message) }
+        if (baseOffsets(text).isNotEmpty() && results.any { it.acceptedAt != null }) context.printError(STALE_BASE)
         val waited = awaitRouters(routers, results.mapNotNull { it.acceptedAt }.maxOrNull())
         waited.forEach { (router, fault) -> context.printError("router $router: ${fault.message}") }
         if (asJson) context.printJson(jsonResult(results, publication.trouble, waited))
@@ -65,6 +66,7 @@
 
     private companion object {
         const val DEFAULT_WAIT_MS = 10_000L
+        const val STALE_BASE = "the base offsets in the file are out of date now; use `show` before the next edit"
         val GOOD_RESULTS = setOf("accepted", "unchanged")
     }
 }
--- a/hickoryctl/src/test/kotlin/org/hickorytiller/hickoryctl/CommandLineTest.kt
+++ b/hickoryctl/src/test/kotlin/org/hickorytiller/hickoryctl/CommandLineTest.kt
@@ -144,7 +144,9 @@
     fun `guards against an operator who undoes the change of another by editing an old copy`() = deployed {
         run("apply", file(document), "--log", logAddress)
         val copy = run("show", "--log", logAddress).output
-        run("apply", file(copy.replace("tier = 1", "tier = 3")), "--log", logAddress).exitCode shouldBe ExitCode.OK
+        val first = run("apply", file(copy.replace("tier = 1", "tier = 3")), "--log", logAddress)
+        first.exitCode shouldBe ExitCode.OK
+        first.errors shouldContain "out of date"
         val late = run("apply", file(copy.replace("tier = 2", "tier = 4").replace("weight = 2", "weight = 3")), "--log", logAddress)
         late.exitCode shouldBe ExitCode.REFUSED
         late.output shouldContain "classes: conflict: another change was accepted at offset 5"
--- a/router/src/main/kotlin/org/hickorytiller/router/ConfigurationTask.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/ConfigurationTask.kt
@@ -136,7 +136,7 @@
     private fun becomeReady(source: String) {
         if (ready) return
         ready = true
-        log.info { "configuration ${state.offset} from $source is in force" }
+        log.info { "ready with configuration offset ${state.offset} from $source" }
     }
 
     private fun enforceJump() {
