--- a/router/src/main/kotlin/org/hickorytiller/router/ConfigurationTask.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/ConfigurationTask.kt
@@ -107,11 +107,22 @@
         reader.onPage(page.earliest, page.end, page.records.map { StoredRecord(it.offset, it.data) }, ::enforce)
         enforceJump()
         stopped?.let { log.error { "configuration record ${it.offset} has the unknown schema ${it.schema}" } }
-        if (reader.caughtUp) becomeReady("the log")
+        if (reader.caughtUp) {
+            becomeReady("the log")
+        } else if (reader.next >= page.end) {
+            awaitSnapshot()
+        }
         // An answer without progress must not turn into a loop without a pause.
         if (page.records.isEmpty() && reader.next < page.end) delay(FIRST_DELAY_MS)
     }
 
+    /** The log has dropped records that were not read, and retains no snapshot of them; a peer may have read them. */
+    private suspend fun awaitSnapshot() {
+        if (stopped != null) return
+        warnOnce("the log retains no complete snapshot; configuration ${state.offset} stays in force")
+        askPeers(reader.state?.offset ?: LogOffset.NONE)?.let(::adopt)
+    }
+
     private suspend fun askPeers(known: LogOffset): StateTransfer? {
         val bytes = withTimeoutOrNull(PEER_TIMEOUT_MS) { fetchFromPeers(known) } ?: return null
         return decodeTransfer(bytes).getOrElse { fault ->
--- a/router/src/test/kotlin/org/hickorytiller/router/ConfigurationTaskTest.kt
+++ b/router/src/test/kotlin/org/hickorytiller/router/ConfigurationTaskTest.kt
@@ -40,6 +40,7 @@
         val records = mutableListOf<ByteArray>()
         var down = false
         var reads = 0
+        var earliest = 0
 
         fun append(record: ConfigurationRecord) {
             records += encodeRecord(record)
@@ -51,8 +52,9 @@
             if (down) {
                 LogFailure.UNAVAILABLE.left()
             } else {
-                val page = records.drop(from.value.toInt()).mapIndexed { i, data -> LogRecord(LogOffset(from.value + i), data) }
-                LogPage(LogOffset(0), LogOffset(records.size.toLong()), page).right()
+                val start = maxOf(from.value.toInt(), earliest)
+                val page = records.drop(start).mapIndexed { i, data -> LogRecord(LogOffset(start.toLong() + i), data) }
+                LogPage(LogOffset(earliest.toLong()), LogOffset(records.size.toLong()), page).right()
             }
         }
     }
@@ -98,6 +100,26 @@
         task.withdrawalsNotOnLog shouldBe emptyList()
     }
 
+    @Test
+    fun `guards against a router that cannot start because the log dropped records before a snapshot was written`() = test { log, keys, scope ->
+        log.append(section)
+        log.append(KeyGranted("clinic", hashKey("second").value, ""))
+        log.append(KeyWithdrawn(hash.value))
+        log.earliest = 2
+        var offered: ByteArray? = null
+        val task = ConfigurationTask(log.read, keys, fetchFromPeers = { offered })
+        scope.launch { task.run() }
+        advanceTimeBy(20_000)
+        task.ready shouldBe false
+        (log.reads < 30) shouldBe true
+        offered = encodeTransfer(StateTransfer(stateWith(section, KeyGranted("clinic", hashKey("second").value, "")), emptySet()))
+        advanceTimeBy(3_000)
+        task.ready shouldBe true
+        task.state.offset shouldBe LogOffset(2)
+        keys.customerOf(hash) shouldBe null
+        keys.customerOf(hashKey("second")) shouldBe clinic
+    }
+
     @Test
     fun `guards against a starting router that accepts a key withdrawn while the log was down`() = test { log, keys, scope ->
         log.append(section)
