--- a/controller/src/main/kotlin/org/hickorytiller/controller/ControllerSettings.kt
+++ b/controller/src/main/kotlin/org/hickorytiller/controller/ControllerSettings.kt
@@ -76,22 +76,29 @@
         // Right after a renewal the lease must last longer than the platform's limit, or nothing could be sent.
         private fun platformSettings(reader: SettingsReader, lease: LeaseTiming): PlatformSettings {
             val longestMs = lease.termMs - lease.renewIntervalMs
+            val incompleteMs =
+                reader.long("incompleteRequestTimeoutMs", 1..longestMs, default = minOf(INCOMPLETE_MS, longestMs / 2))
+            val marginMs =
+                reader.long(
+                    "writeMarginMs",
+                    1..longestMs - incompleteMs,
+                    default = minOf(WRITE_MARGIN_MS, longestMs / 2),
+                )
             return PlatformSettings(
                 logAddress = reader.address("logAddress"),
                 orderAddress = reader.address("orderAddress"),
                 usageAddress = reader.address("usageAddress"),
-                incompleteRequestTimeoutMs =
-                reader.long("incompleteRequestTimeoutMs", 1..longestMs, default = minOf(INCOMPLETE_MS, longestMs)),
-                writeMarginMs = reader.long("writeMarginMs", 1..longestMs, default = minOf(WRITE_MARGIN_MS, longestMs)),
+                incompleteRequestTimeoutMs = incompleteMs,
+                writeMarginMs = marginMs,
             )
         }
 
         private fun plannerSettings(reader: SettingsReader): PlannerSettings {
             val defaults = PlannerSettings()
             return PlannerSettings(
-                targetUtilisation = reader.percent("targetUtilisationPercent", DEFAULT_UTILISATION),
+                targetUtilisation = reader.percent("targetUtilisationPercent", 1, DEFAULT_UTILISATION),
                 protectedTier = Tier(reader.int("protectedTier", 0..9, default = 0)),
-                evictionHeadroom = reader.percent("evictionHeadroomPercent", DEFAULT_HEADROOM),
+                evictionHeadroom = reader.percent("evictionHeadroomPercent", 0, DEFAULT_HEADROOM),
                 scaleUpHoldMs = reader.long("scaleUpHoldMs", 0..HOUR_MS, default = defaults.scaleUpHoldMs),
                 idleHoldMs = reader.long("idleHoldMs", 0..DAY_MS, default = defaults.idleHoldMs),
                 offerHoldMs = reader.long("offerHoldMs", 0..DAY_MS, default = defaults.offerHoldMs),
@@ -102,8 +109,8 @@
             )
         }
 
-        private fun SettingsReader.percent(name: String, default: Int) =
-            int(name, 1..ALL_PERCENT, default) / ALL_PERCENT.toDouble()
+        private fun SettingsReader.percent(name: String, least: Int, default: Int) =
+            int(name, least..ALL_PERCENT, default) / ALL_PERCENT.toDouble()
 
         private fun usageTiming(reader: SettingsReader) = UsageTiming(
             windowMs = reader.long("windowMs", 1_000L..DAY_MS, default = 60_000),
--- a/controller/src/main/kotlin/org/hickorytiller/controller/LeaseTask.kt
+++ b/controller/src/main/kotlin/org/hickorytiller/controller/LeaseTask.kt
@@ -37,6 +37,8 @@
 import org.hickorytiller.platform.LogRecord
 import org.hickorytiller.platform.Read
 import org.hickorytiller.platform.followStream
+import java.nio.ByteBuffer
+import java.security.MessageDigest
 import java.util.UUID
 
 /** What a process does while it holds the lease of a duty; it is cancelled when the lease ends. */
@@ -205,10 +207,6 @@
  * candidates do not all append at once: 360 appends at once are about the whole rate of the log.
  */
 internal fun claimDelayMs(host: HostId, duty: Duty, timing: LeaseTiming): Long {
-    val hash = "${host.value} ${duty.value}".fold(FNV_OFFSET) { hash, char -> (hash xor char.code) * FNV_PRIME }
-    return Math.floorMod(hash xor (hash ushr HASH_FOLD_BITS), timing.renewIntervalMs.toInt()).toLong()
+    val bytes = MessageDigest.getInstance("SHA-256").digest("${host.value} ${duty.value}".toByteArray())
+    return Math.floorMod(ByteBuffer.wrap(bytes).getLong(), timing.renewIntervalMs)
 }
-
-private const val FNV_OFFSET = -0x7ee3623b
-private const val FNV_PRIME = 0x01000193
-private const val HASH_FOLD_BITS = 15
--- a/standins/src/main/kotlin/org/hickorytiller/standins/StandIns.kt
+++ b/standins/src/main/kotlin/org/hickorytiller/standins/StandIns.kt
@@ -14,6 +14,9 @@
     val engines = mutableListOf<EngineStandIn>()
     val services = mutableListOf<PlainServiceStandIn>()
 
+    // An order starts an engine from the loop of the ordering interface, which must not wait
+    // for its own thread to bind.
+    private val serverLoop = EventLoop()
     private var nextPort = port + FIRST_SERVER_PORT
 
     /** Starts the platform's interfaces, [engineCount] engines and [serviceCount] replicas of the plain service. */
@@ -33,7 +36,7 @@
     private fun startEngine(pool: String, failureDomain: String, reclaimable: Boolean): ListedBackendServer {
         val address = loopback(nextPort++)
         val engine = EngineStandIn("engine-${address.port}")
-        engine.start(loop.group, loop.scope, address)
+        engine.start(serverLoop.group, serverLoop.scope, address)
         engines += engine
         return ListedBackendServer(
             engine.name,
@@ -49,7 +52,7 @@
     private fun startService(failureDomain: String): ListedBackendServer {
         val address = loopback(nextPort++)
         val service = PlainServiceStandIn()
-        service.start(loop.group, loop.scope, address)
+        service.start(serverLoop.group, serverLoop.scope, address)
         services += service
         return ListedBackendServer(
             "service-${address.port}",
