Flush the usage counter of a router

Cause: UsageTask was not started by the router.

Change: Router creates the counter with the run's id and starts the task.

Conclusion: usage flows once the front end adds what it served.

--- a/router/src/main/kotlin/org/hickorytiller/router/Router.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/Router.kt
@@ -15,6 +15,8 @@
 import org.hickorytiller.membership.AddressAnswer
 import org.hickorytiller.platform.LogClient
 import org.hickorytiller.platform.OrderClient
+import org.hickorytiller.usage.UsageCounter
+import java.util.UUID
 
 /** A router process. */
 internal class Router(private val settings: RouterSettings, private val loop: EventLoop) {
@@ -22,6 +24,7 @@
     private val client = HttpClient(loop.group, limits)
     private val logClient = LogClient(client, settings.logAddress)
     private val orderClient = OrderClient(client, settings.orderAddress)
+    private val usage = UsageCounter(settings.host.value, UUID.randomUUID().toString(), monotonicClock())
     private val keys = KeyRegistry()
     private val servers = BackendServerTable()
     private val admission = Admission(monotonicClock, servers::freeSlots)
@@ -35,6 +38,7 @@
     /** Starts listening and following the platform. */
     fun start() {
         loop.scope.launch { configuration.run() }
+        loop.scope.launch { UsageTask(usage, monotonicClock, logClient::append).run() }
         loop.scope.launch {
             followBackendServers(orderClient::backendServers, servers) {
                 configuration.state.document.pools.keys.forEach(admission::grantFreeSlots)
