--- a/admission/src/main/kotlin/org/hickorytiller/admission/Admission.kt
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/Admission.kt
@@ -32,11 +32,18 @@
  */
 class Waiter(val start: () -> Boolean, val refused: (Refused) -> Unit, val preempt: () -> Unit)
 
-/** Admission of one router. Confined to the event loop. */
+/**
+ * Admission of one router. Confined to the event loop.
+ *
+ * @param freeSlots free slots within this router's quota
+ * @param spareSlots requests beyond the quota that the servers would queue; only the most urgent tier of a pool gets
+ *   them, so that it does not wait for the next exchange of quotas
+ */
 class Admission(
     private val clock: Clock,
     private val freeSlots: FreeSlots,
     private val totalSlots: TotalSlots = freeSlots,
+    private val spareSlots: FreeSlots = { 0 },
     private val rules: AdmissionRules = AdmissionRules(),
     private val weightOf: WeightOf = { 1.0 },
     private val limits: Limits = Limits(),
@@ -109,15 +116,9 @@
     fun grantFreeSlots(pool: PoolId) {
         val queue = queues[pool] ?: return
         expire(pool)
-        var free = freeSlots(pool)
-        while (free > 0) {
-            val ticket = queue.grant(clock()) ?: return
-            free--
-            val request = requests[ticket.id] ?: continue
-            if (request.waiter.start()) continue
-            queue.ended(ticket.id, clock(), complete = false)
-            refuse(ticket, Refused(Refusal.NO_BACKEND_SERVER, RETRY_MS))
-        }
+        repeat(freeSlots(pool)) { start(queue.grant(clock()) ?: return) }
+        val stuck = queue.mostUrgentStuck
+        if (stuck > 0) repeat(minOf(stuck, spareSlots(pool))) { start(queue.grant(clock()) ?: return) }
         while (true) {
             val victim = queue.preempt(clock()) ?: return
             requests[victim.id]?.waiter?.preempt?.invoke()
@@ -160,7 +161,7 @@
                 customers += CustomerReport(pool, requestClass, customer, tokens.toLong(), running, perMinute)
             }
         }
-        val demand = queues.flatMap { (pool, queue) -> queue.demand(pool) }
+        val demand = queues.flatMap { (pool, queue) -> queue.demand(pool, now) }
         return PeerReport(++sequence, demand, customers, inFlight).also(shares::reported)
     }
 
@@ -189,6 +190,13 @@
         queue(change.pool).chargeRemote(change.requestClass, change.customer, change.tokens, now)
     }
 
+    private fun start(ticket: Ticket) {
+        val request = requests[ticket.id] ?: return
+        if (request.waiter.start()) return
+        queue(ticket.pool).ended(ticket.id, clock(), complete = false)
+        refuse(ticket, Refused(Refusal.NO_BACKEND_SERVER, RETRY_MS))
+    }
+
     private fun refuse(ticket: Ticket, refused: Refused) {
         val request = requests.remove(ticket.id) ?: return
         limits.ended(ticket.customer, ticket.requestClass.id)
@@ -201,7 +209,7 @@
     }
 
     private fun queue(pool: PoolId): AdmissionQueue =
-        queues.getOrPut(pool) { AdmissionQueue(rules, weightOf) { totalSlots(pool) } }
+        queues.getOrPut(pool) { AdmissionQueue(rules, weightOf, { spareSlots(pool) }) { totalSlots(pool) } }
 
     private companion object {
         const val RETRY_MS = 500L
--- a/admission/src/main/kotlin/org/hickorytiller/admission/AdmissionQueue.kt
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/AdmissionQueue.kt
@@ -21,10 +21,12 @@
  * Requests of one pool.
  *
  * @param slots number of slots that this router may use in the pool, free or not
+ * @param spare requests of the most urgent tier that the pool takes beyond [slots]
  */
 class AdmissionQueue(
     private val rules: AdmissionRules = AdmissionRules(),
     private val weightOf: WeightOf = { 1.0 },
+    private val spare: () -> Int = { 0 },
     private val slots: () -> Int,
 ) {
     private val entries = HashMap<TicketId, Entry>()
@@ -44,8 +46,9 @@
         get() = classes.associate { it.requestClass.id to it.counters }
 
     /** Demand of this router by class. */
-    fun demand(pool: PoolId): List<ClassDemand> = classes.map {
-        ClassDemand(pool, it.requestClass.id, it.requestClass.tier, it.waiting, it.running.size)
+    fun demand(pool: PoolId, now: TimeMs): List<ClassDemand> = classes.map {
+        val requestClass = it.requestClass
+        ClassDemand(pool, requestClass.id, requestClass.tier, it.waiting, it.running.size, it.offeredSlots(now))
     }
 
     /** Passes each customer of each class that has changed since the previous call, with its decayed tokens. */
@@ -64,11 +67,11 @@
     fun offer(ticket: Ticket, now: TimeMs): Either<Refused, Ticket?> {
         advance(now)
         val queue = queueOf(ticket.requestClass)
-        queue.counters.offered++
-        val available = slots()
-        if (available <= 0) return refuse(queue, Refusal.NO_BACKEND_SERVER, NO_SERVER_RETRY_MS)
+        queue.offered(now)
+        val available = slotsFor(queue)
+        if (slots() + spare() <= 0) return refuse(queue, Refusal.NO_BACKEND_SERVER, NO_SERVER_RETRY_MS)
         val waitMs = load.waitMs(ticket.requestClass.tier, available)
-        if (waitMs == 0L || now + waitMs <= ticket.startBy) {
+        if (waitMs == 0L || now + waitMs <= ticket.startBy || hasRoom(classes, queue, available)) {
             load.add(ticket.requestClass.tier, queue.serviceMs)
             enqueue(Entry(ticket, queue.share.account(ticket.customer), queue, queue.serviceMs, false), now)
             return null.right()
@@ -93,6 +96,14 @@
         return load.waitMs(requestClass.tier, slots())
     }
 
+    /** Waiting requests of the most urgent tier, while no less urgent work of this router runs that could make room. */
+    val mostUrgentStuck: Int
+        get() {
+            val top = classes.firstOrNull()?.requestClass?.tier ?: return 0
+            if (classes.any { it.requestClass.tier != top && it.running.size > 0 }) return 0
+            return classes.sumOf { if (it.requestClass.tier == top) it.waiting else 0 }
+        }
+
     /** Gives a free slot to the next request, which runs from now on; null if none waits. */
     fun grant(now: TimeMs): Ticket? {
         advance(now)
@@ -191,6 +202,9 @@
         classes.firstOrNull { it.requestClass.id == requestClass }?.share?.chargeRemote(customer, tokens, now)
     }
 
+    private fun slotsFor(queue: ClassQueue): Int =
+        if (queue.requestClass.tier == classes[0].requestClass.tier) slots() + spare() else slots()
+
     private fun enqueue(entry: Entry, now: TimeMs) {
         entries[entry.ticket.id] = entry
         entry.queue.add(entry, now)
@@ -230,7 +244,7 @@
     private fun advance(now: TimeMs) {
         if (advancedTo == now) return
         advancedTo = now
-        load.advance(now, slots())
+        load.advance(now, slots(), spare())
     }
 
     private fun queueOf(requestClass: RequestClass): ClassQueue {
--- a/admission/src/main/kotlin/org/hickorytiller/admission/ClassQueue.kt
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/ClassQueue.kt
@@ -4,6 +4,8 @@
 import org.hickorytiller.core.CustomerId
 import org.hickorytiller.core.RequestClass
 import org.hickorytiller.core.TimeMs
+import kotlin.math.exp
+import kotlin.math.roundToInt
 
 internal class ClassQueue(requestClass: RequestClass, rules: AdmissionRules, weightOf: (CustomerId) -> Double) {
     /** The class as it is configured now. */
@@ -20,6 +22,8 @@
     var answerTokens = rules.initialTokens.toDouble()
         private set
     private var ended = 0L
+    private var offeredMs = 0.0
+    private var offeredAt = TimeMs(0)
 
     /** When the class last had a grant, or began to wait. */
     var waitingSince = TimeMs(0)
@@ -36,6 +40,17 @@
         if (newest !== requestClass) requestClass = newest
     }
 
+    /** Counts an arrival, accepted or not. */
+    fun offered(now: TimeMs) {
+        counters.offered++
+        offeredMs = offeredMs * exp(-(now - offeredAt) / OFFERED_WINDOW_MS) + serviceMs
+        offeredAt = now
+    }
+
+    /** Slots that the arrivals of the last seconds would keep busy. */
+    fun offeredSlots(now: TimeMs): Int =
+        (offeredMs * exp(-(now - offeredAt) / OFFERED_WINDOW_MS) / OFFERED_WINDOW_MS).roundToInt()
+
     fun add(entry: Entry, now: TimeMs) {
         if (waiting == 0) waitingSince = now
         deadlines.put(entry)
@@ -81,5 +96,20 @@
 
     private companion object {
         const val MOVING_AVERAGE_PART = 0.02
+
+        // A shorter window follows single arrivals, a longer one misses the start of a burst.
+        const val OFFERED_WINDOW_MS = 2_000.0
+    }
+}
+
+/**
+ * Whether the tier of [queue] and the more urgent ones together have fewer requests than [slots]. The prediction
+ * follows the quota of the last exchange and may lag behind what really runs.
+ */
+internal fun hasRoom(classes: List<ClassQueue>, queue: ClassQueue, slots: Int): Boolean {
+    var requests = 0
+    for (other in classes) {
+        if (other.requestClass.tier <= queue.requestClass.tier) requests += other.waiting + other.running.size
     }
+    return requests < slots
 }
--- a/admission/src/main/kotlin/org/hickorytiller/admission/PeerReport.kt
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/PeerReport.kt
@@ -6,14 +6,28 @@
 import org.hickorytiller.core.CustomerId
 import org.hickorytiller.core.PoolId
 import org.hickorytiller.core.Tier
+import kotlin.math.sqrt
 
 /**
  * Demand of one router for one class in one pool.
  *
  * @property waiting requests that wait for a slot
  * @property running requests that hold a slot
+ * @property offeredSlots slots that the recent arrivals would keep busy, refused ones included
  */
-data class ClassDemand(val pool: PoolId, val requestClass: ClassId, val tier: Tier, val waiting: Int, val running: Int)
+data class ClassDemand(
+    val pool: PoolId,
+    val requestClass: ClassId,
+    val tier: Tier,
+    val waiting: Int,
+    val running: Int,
+    val offeredSlots: Int = 0,
+) {
+    // Waiting and running requests alone are a noisy sample, and leave out what was refused for want of a quota. The
+    // square root is the usual variation of random arrivals.
+    internal val wantedSlots: Double
+        get() = maxOf((waiting + running).toDouble(), offeredSlots + sqrt(offeredSlots.toDouble()))
+}
 
 /**
  * Service of one router to one customer in one class.
--- a/admission/src/main/kotlin/org/hickorytiller/admission/PredictedLoad.kt
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/PredictedLoad.kt
@@ -33,11 +33,12 @@
     private val levels = ArrayList<Level>()
     private var drainedAt: TimeMs? = null
 
-    /** Accounts for the time up to [now] in which [slots] slots worked. */
-    fun advance(now: TimeMs, slots: Int) {
+    /** Accounts for the time up to [now] in which [slots] slots worked, and [spare] more for the most urgent tier. */
+    fun advance(now: TimeMs, slots: Int, spare: Int) {
         val elapsedMs = now - (drainedAt ?: now)
         drainedAt = now
-        if (elapsedMs > 0) levels.forEach { it.drain(elapsedMs, slots) }
+        if (elapsedMs <= 0) return
+        levels.forEachIndexed { index, level -> level.drain(elapsedMs, if (index == 0) slots + spare else slots) }
     }
 
     /** Time until a request of [tier] that arrives now gets a slot. */
--- a/admission/src/main/kotlin/org/hickorytiller/admission/SlotQuotas.kt
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/SlotQuotas.kt
@@ -46,7 +46,7 @@
     demands.forEachIndexed { router, classes ->
         classes.forEach { demand ->
             val ofTier = byTier.getOrPut(demand.tier) { DoubleArray(demands.size) }
-            ofTier[router] += (demand.waiting + demand.running).toDouble()
+            ofTier[router] += demand.wantedSlots
         }
     }
     val shares = DoubleArray(demands.size)
--- a/admission/src/test/kotlin/org/hickorytiller/admission/PoolRun.kt
+++ b/admission/src/test/kotlin/org/hickorytiller/admission/PoolRun.kt
@@ -38,7 +38,7 @@
     private var order = 0L
     private var nowMs = 0L
     private var inUse = 0
-    val admission = Admission({ TimeMs(nowMs) }, { slots - inUse }, { slots }, rules, weightOf)
+    val admission = Admission({ TimeMs(nowMs) }, { slots - inUse }, { slots }, rules = rules, weightOf = weightOf)
     val outcomes = mutableListOf<Outcome>()
     val tokensOf = HashMap<String, Long>()
 
--- a/balancing/src/main/kotlin/org/hickorytiller/balancing/BackendServerTable.kt
+++ b/balancing/src/main/kotlin/org/hickorytiller/balancing/BackendServerTable.kt
@@ -17,6 +17,7 @@
 /**
  * What the choice of a server depends on.
  *
+ * @property mostUrgent whether the request may go beyond the quota, into the queue of a server
  * @property careful whether a loss of the server would do much harm: non-idempotent or top-tier work
  * @property prefix hashes of the blocks of the prompt, see [prefixHashes]
  * @property model model or adapter that has to be loaded; null if any server will do
@@ -25,6 +26,7 @@
 class Choice(
     val pool: PoolId,
     val careful: Boolean = false,
+    val mostUrgent: Boolean = false,
     val prefix: LongArray = NO_PREFIX,
     val model: ModelId? = null,
     val excluded: Set<BackendServerId> = emptySet(),
@@ -43,6 +45,7 @@
     private val servers = LinkedHashMap<BackendServerId, ServerState>()
     private val pools = HashMap<PoolId, PoolServers>()
     private val evictions = Evictions()
+    private val poolOf = { pool: PoolId -> pools.getOrPut(pool) { PoolServers(rules) } }
 
     /** Replaces the list of backend servers. Estimates of servers that stay listed are kept. */
     fun replace(listed: List<BackendServer>) {
@@ -85,6 +88,17 @@
         return free
     }
 
+    /** Requests of the most urgent tier that may go to the servers of [pool] beyond this router's quota. */
+    fun spareSlots(pool: PoolId): Int {
+        val states = refreshed(pool)?.states ?: return 0
+        var spare = 0
+        val now = clock()
+        for (state in states) {
+            if (evictions.takesNewWork(state.server, now)) spare += state.spare - maxOf(0, state.inFlight - state.cap)
+        }
+        return maxOf(0, spare)
+    }
+
     /** Number of slots of [pool] that this router may use, free or not. */
     fun totalSlots(pool: PoolId): Int {
         val states = refreshed(pool)?.states ?: return 0
@@ -98,19 +112,10 @@
     fun choose(choice: Choice): BackendServer? {
         val pool = refreshed(choice.pool) ?: return null
         val now = clock()
-        val matched = pool.matchPrefix(choice.prefix)
-        var best: ServerState? = null
-        var bestScore = Double.MAX_VALUE
-        for (state in pool.states) {
-            if (state.inFlight >= state.cap || !evictions.takesNewWork(state.server, now)) continue
-            if (choice.excluded.isNotEmpty() && state.server.id in choice.excluded) continue
-            val score = state.score(choice, if (pool.isHolder(state)) matched else 0.0, now)
-            if (score < bestScore) {
-                best = state
-                bestScore = score
-            }
-        }
-        val chosen = best ?: return null
+        val chosen =
+            pool.best(choice, evictions, now, beyondQuota = false)
+                ?: (if (choice.mostUrgent) pool.best(choice, evictions, now, beyondQuota = true) else null)
+                ?: return null
         if (chosen.straggler) chosen.probed(now)
         if (choice.prefix.isNotEmpty()) pool.prefixes.store(pool.indexOf(chosen), choice.prefix)
         return chosen.server
@@ -187,6 +192,4 @@
         known.applyQuotas(quotasOf(pool))
         return known
     }
-
-    private fun poolOf(pool: PoolId) = pools.getOrPut(pool) { PoolServers(rules) }
 }
--- a/balancing/src/main/kotlin/org/hickorytiller/balancing/PoolServers.kt
+++ b/balancing/src/main/kotlin/org/hickorytiller/balancing/PoolServers.kt
@@ -2,6 +2,7 @@
 package org.hickorytiller.balancing
 
 import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.TimeMs
 
 internal class PoolServers(rules: BalancingRules) {
     var states: Array<ServerState> = emptyArray()
@@ -42,14 +43,32 @@
         for (state in states) state.quota = if (quotas == null) state.server.slots else quotas[state.server.id] ?: 0
     }
 
+    /** The server with the lowest score that takes new work and has a free slot, within the quota or beyond it. */
+    fun best(choice: Choice, evictions: Evictions, now: TimeMs, beyondQuota: Boolean): ServerState? {
+        val matched = matchPrefix(choice.prefix)
+        var best: ServerState? = null
+        var bestScore = Double.MAX_VALUE
+        for (state in states) {
+            val most = if (beyondQuota) state.cap + state.spare else state.cap
+            if (state.inFlight >= most || !evictions.takesNewWork(state.server, now)) continue
+            if (choice.excluded.isNotEmpty() && state.server.id in choice.excluded) continue
+            val score = state.score(choice, if (isHolder(state)) matched else 0.0, now)
+            if (score < bestScore) {
+                best = state
+                bestScore = score
+            }
+        }
+        return best
+    }
+
     /** Finds the servers that hold the longest known part of [prefix], and returns that part of it. */
-    fun matchPrefix(prefix: LongArray): Double {
+    private fun matchPrefix(prefix: LongArray): Double {
         holderCount = 0
         if (prefix.isEmpty()) return 0.0
         return prefixes.longestMatch(prefix, noteHolder).toDouble() / prefix.size
     }
 
-    fun isHolder(state: ServerState): Boolean {
+    private fun isHolder(state: ServerState): Boolean {
         for (index in 0 until holderCount) if (holders[index] === state) return true
         return false
     }
--- a/balancing/src/main/kotlin/org/hickorytiller/balancing/ServerState.kt
+++ b/balancing/src/main/kotlin/org/hickorytiller/balancing/ServerState.kt
@@ -35,6 +35,9 @@
 
     val cap: Int get() = minOf(quota, limit.value)
 
+    /** Requests beyond [cap] that the most urgent tier may send; the server queues them in front of other work. */
+    val spare: Int get() = maxOf(1, server.slots / SPARE_PART)
+
     private fun mayProbe(now: TimeMs) = now >= probeAt && inFlight == 0
 
     /** Notes that a probe was sent to a straggler, so that no other follows before it is answered or overdue. */
@@ -67,6 +70,8 @@
     fun observe(answerRatio: Double, now: TimeMs) {
         val slow = answerRatio >= rules.stragglerRatio
         slowBits = ((slowBits shl 1) or (if (slow) 1 else 0)) and ((1 shl rules.recentAnswers) - 1)
+        // A server that is gone refuses at once, so it looks idle. One failure has to be enough.
+        if (answerRatio.isInfinite()) slowBits = (1 shl rules.recentAnswers) - 1
         observedAt = now
         ratio += RATIO_PART * (minOf(answerRatio, HIGHEST_RATIO) - ratio)
         // Answers to requests that were sent before the verdict say nothing new.
@@ -114,6 +119,7 @@
         // Work that may be repeated goes to reclaimable servers first, so that the others stay free for careful work.
         const val RECLAIMABLE_PREFERENCE = 0.8
         const val LEAST_RATIO = 0.25
+        const val SPARE_PART = 8
         const val HIGHEST_RATIO = 20.0
         const val RATIO_PART = 0.1
 
--- a/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
@@ -26,7 +26,9 @@
 import org.hickorytiller.core.FailureDomain
 import org.hickorytiller.core.KeyHash
 import org.hickorytiller.core.ModelId
+import org.hickorytiller.core.PoolId
 import org.hickorytiller.core.RequestClass
+import org.hickorytiller.core.Tier
 import org.hickorytiller.core.Verdict
 import org.hickorytiller.dispatch.Dispatcher
 import org.hickorytiller.http.HttpFault
@@ -268,11 +270,19 @@
         )
     }
 
+    private fun topTier(pool: PoolId): Tier {
+        val document = configuration.state.document
+        return document.routes.filter {
+            it.pool == pool
+        }.flatMap { it.classes }.minOf { document.classes.getValue(it).tier }
+    }
+
     private fun choice(request: CallerRequest): Choice {
-        val topTier = configuration.state.document.classes.values.minOf { it.tier }
+        val topTier = topTier(request.route.pool)
         return Choice(
             request.route.pool,
             careful = !request.idempotent || request.requestClass.tier == topTier,
+            mostUrgent = request.requestClass.tier == topTier,
             prefix = if (request.kind == PoolKind.ENGINE) prefixHashes(request.body) else LongArray(0),
         )
     }
--- a/router/src/main/kotlin/org/hickorytiller/router/Router.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/Router.kt
@@ -41,6 +41,7 @@
             monotonicClock,
             servers::freeSlots,
             servers::totalSlots,
+            servers::spareSlots,
             weightOf = { configuration.state.document.customers[it]?.weight ?: 1.0 },
             limits = Limits { customer, requestClass -> limitsOf(customer, requestClass) },
             shares = shares,
