--- a/admission/src/main/kotlin/org/hickorytiller/admission/PredictedLoad.kt
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/PredictedLoad.kt
@@ -33,11 +33,12 @@
     private val levels = ArrayList<Level>()
     private var drainedAt: TimeMs? = null
 
-    /** Accounts for the time up to [now] in which [slots] slots worked. */
-    fun advance(now: TimeMs, slots: Int) {
+    /** Accounts for the time up to [now] in which [slots] slots worked, and [spare] more for the most urgent tier. */
+    fun advance(now: TimeMs, slots: Int, spare: Int) {
         val elapsedMs = now - (drainedAt ?: now)
         drainedAt = now
-        if (elapsedMs > 0) levels.forEach { it.drain(elapsedMs, slots) }
+        if (elapsedMs <= 0) return
+        levels.forEachIndexed { index, level -> level.drain(elapsedMs, if (index == 0) slots + spare else slots) }
     }
 
     /** Time until a request of [tier] that arrives now gets a slot. */
@@ -62,19 +63,25 @@
         }
     }
 
-    /** Replaces the service time that was assumed for a request of [tier] by one that is [byMs] longer. */
-    fun correct(tier: Tier, byMs: Double) {
+    /**
+     * Corrects what was assumed for a request of [tier] that left its slot after [ranMs]. Of an aborted one the work
+     * that it did not do is taken out, since its retry is counted in anew; otherwise a few quick failures would refuse
+     * requests although slots are free.
+     */
+    fun settle(tier: Tier, predictedMs: Double, ranMs: Long, complete: Boolean) {
+        if (!complete) return remove(tier, predictedMs, part = maxOf(0.0, 1 - ranMs / predictedMs))
         for (level in levels) {
             if (level.tier < tier || level.requests <= 0) continue
-            level.workMs = maxOf(level.requests, level.workMs + byMs)
+            level.workMs = maxOf(level.requests, level.workMs + ranMs - predictedMs)
         }
     }
 
-    fun remove(tier: Tier, serviceMs: Double) {
+    /** Takes out [part] of a request of [tier] that was counted in with [serviceMs]. */
+    fun remove(tier: Tier, serviceMs: Double, part: Double = 1.0) {
         for (level in levels) {
             if (level.tier < tier) continue
-            level.requests = maxOf(0.0, level.requests - 1)
-            level.workMs = maxOf(0.0, level.workMs - serviceMs)
+            level.requests = maxOf(0.0, level.requests - part)
+            level.workMs = maxOf(0.0, level.workMs - serviceMs * part)
         }
     }
 
--- a/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
@@ -17,6 +17,7 @@
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.Clock
+import org.hickorytiller.core.PoolId
 import org.hickorytiller.core.Tier
 import org.hickorytiller.core.Verdict
 import org.hickorytiller.dispatch.AnswerSink
@@ -46,7 +47,7 @@
     val servers: BackendServerTable,
     val dispatcher: Dispatcher,
     val intents: IntentTask,
-    val topTier: () -> Tier,
+    val topTier: (PoolId) -> Tier,
     val reportServed: ReportServed,
     val hedgeAfterMs: Long? = null,
 )
@@ -234,12 +235,16 @@
             )
         }
 
-        private fun choice(mayUse: ServerFilter) = Choice(
-            request.route.pool,
-            careful = !request.isIdempotent || request.requestClass.tier == slices.topTier(),
-            prefix = request.prefix,
-            mayUse = mayUse,
-        )
+        private fun choice(mayUse: ServerFilter): Choice {
+            val isMostUrgent = request.requestClass.tier == slices.topTier(request.route.pool)
+            return Choice(
+                request.route.pool,
+                careful = !request.isIdempotent || isMostUrgent,
+                mostUrgent = isMostUrgent,
+                prefix = request.prefix,
+                mayUse = mayUse,
+            )
+        }
     }
 
     /** A slot from its grant on, with the attempt that uses it once it has begun. */
--- a/router/src/main/kotlin/org/hickorytiller/router/Router.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/Router.kt
@@ -13,6 +13,7 @@
 import org.hickorytiller.core.CustomerId
 import org.hickorytiller.core.PoolId
 import org.hickorytiller.core.ProcessId
+import org.hickorytiller.core.Tier
 import org.hickorytiller.core.monotonicClock
 import org.hickorytiller.core.text
 import org.hickorytiller.dispatch.Dispatcher
@@ -47,6 +48,7 @@
             monotonicClock,
             servers::freeSlots,
             servers::totalSlots,
+            servers::spareSlots,
             weightOf = { configuration.state.document.customers[it]?.weight ?: 1.0 },
             limits = Limits { customer, requestClass -> limitsOf(customer, requestClass) },
             shares = shares,
@@ -69,7 +71,7 @@
             servers,
             dispatcher,
             intents,
-            topTier = { configuration.state.document.classes.values.minOf { it.tier } },
+            topTier = ::topTier,
             reportServed = { request, served ->
                 usage.add(request.customer, request.requestClass.id, request.route.pool, served)
             },
@@ -113,6 +115,12 @@
 
     private fun BackendServerTable.slots(pool: PoolId) = available(pool).map { ServerSlots(it.id, it.slots) }
 
+    private fun topTier(pool: PoolId): Tier {
+        val document = configuration.state.document
+        val classes = document.routes.filter { it.pool == pool }.flatMap { it.classes }
+        return classes.minOf { document.classes.getValue(it).tier }
+    }
+
     private fun limitsOf(customer: CustomerId, requestClass: ClassId?): CustomerLimits {
         val configured = configuration.state.document.customers[customer]
         if (requestClass != null || configured == null) return CustomerLimits.NONE
