--- a/membership/src/main/kotlin/org/hickorytiller/membership/Neighbourhood.kt
+++ b/membership/src/main/kotlin/org/hickorytiller/membership/Neighbourhood.kt
@@ -7,56 +7,73 @@
 
 import org.hickorytiller.peering.MemberId
 import org.hickorytiller.peering.MemberRole
-import java.util.PriorityQueue
 
 /** The links of all live members of a [MemberTable]. Confined to the event loop. */
 class Neighbourhood(private val limits: MembershipLimits) {
+    private class Choice(val id: MemberId, val rank: Long)
+
     private var epoch = -1L
-    private var outgoing = emptyMap<MemberId, List<MemberId>>()
-    private var neighbours = emptyMap<MemberId, Set<MemberId>>()
+    private val hashes = HashMap<MemberId, Long>()
+    private val choices = HashMap<MemberId, List<Choice>>()
+    private val neighbours = HashMap<MemberId, Set<MemberId>>()
 
-    /** Computes the links anew if the set of live members has changed: about 4 ms at 360 routers and controllers. */
+    /**
+     * Brings the links up to date with [table]. A newcomer is compared with the last choice of each member; a choice is
+     * made anew only where a chosen member is gone, so a change costs in proportion to the number of members.
+     */
     fun refresh(table: MemberTable) {
         if (epoch == table.liveEpoch) return
         epoch = table.liveEpoch
-        val live = table.live().map { it.id }
-        val routers = live.filter { it.role == MemberRole.ROUTER }.map { Candidate(it, idHash(it)) }
-        outgoing = live.associateWith { choose(it, routers) }
-        neighbours = bothDirections(outgoing)
+        val live = table.live().mapTo(HashSet()) { it.id }
+        remove(hashes.keys - live)
+        add(live - hashes.keys)
+        neighbours.clear()
     }
 
     /** The members that [id] connects to. */
-    fun chosenBy(id: MemberId): List<MemberId> = outgoing[id] ?: emptyList()
+    fun chosenBy(id: MemberId): List<MemberId> = choices[id].orEmpty().map { it.id }
 
     /** The members that [id] has a link with in either direction; null if [id] is not live. */
-    fun of(id: MemberId): Set<MemberId>? = neighbours[id]
-
-    private class Candidate(val id: MemberId, val hash: Long)
+    fun of(id: MemberId): Set<MemberId>? {
+        if (id !in hashes) return null
+        return neighbours.getOrPut(id) { (chosenBy(id) + choosing(id)).toSet() }
+    }
 
-    private class Ranked(val id: MemberId, val rank: Long)
+    private fun remove(gone: Set<MemberId>) {
+        if (gone.isEmpty()) return
+        hashes -= gone
+        choices -= gone
+        val incomplete = choices.filterValues { chosen -> chosen.any { it.id in gone } }.keys
+        incomplete.forEach { choices[it] = best(it, emptyList(), hashes.keys) }
+    }
 
-    private fun choose(chooser: MemberId, routers: List<Candidate>): List<MemberId> {
-        if (chooser.role == MemberRole.ROUTER) return highest(chooser, routers, limits.outgoingLinks)
-        val local = routers.filter { it.id.host == chooser.host }.map { it.id }
-        return (local + highest(chooser, routers, limits.controllerLinks)).distinct().take(limits.controllerLinks)
+    private fun add(newcomers: Set<MemberId>) {
+        val established = choices.keys.toList()
+        newcomers.forEach { hashes[it] = idHash(it) }
+        established.forEach { choices[it] = best(it, choices.getValue(it), newcomers) }
+        newcomers.forEach { choices[it] = best(it, emptyList(), hashes.keys) }
     }
 
-    private fun highest(chooser: MemberId, routers: List<Candidate>, count: Int): List<MemberId> {
-        val hash = idHash(chooser)
-        val best = PriorityQueue<Ranked>(count + 1, compareBy { it.rank })
-        for (candidate in routers) {
-            if (candidate.id == chooser) continue
-            val rank = rank(hash, candidate.hash)
-            if (best.size == count && best.peek().rank >= rank) continue
-            best += Ranked(candidate.id, rank)
-            if (best.size > count) best.poll()
+    /** The highest ranked of [present] and [candidates] for [chooser]. */
+    private fun best(chooser: MemberId, present: List<Choice>, candidates: Set<MemberId>): List<Choice> {
+        val count = if (chooser.role == MemberRole.ROUTER) limits.outgoingLinks else limits.controllerLinks
+        val best = ArrayList(present)
+        for (candidate in candidates) {
+            if (candidate.role != MemberRole.ROUTER || candidate == chooser) continue
+            val rank = rankFor(chooser, candidate)
+            if (best.size == count && best.last().rank >= rank) continue
+            best.add(best.count { it.rank >= rank }, Choice(candidate, rank))
+            if (best.size > count) best.removeAt(best.lastIndex)
         }
-        return best.sortedByDescending { it.rank }.map { it.id }
+        return best
     }
 
-    private fun bothDirections(outgoing: Map<MemberId, List<MemberId>>): Map<MemberId, Set<MemberId>> {
-        val both = outgoing.mapValues { (_, chosen) -> chosen.toMutableSet() }
-        outgoing.forEach { (id, chosen) -> chosen.forEach { both[it]?.add(id) } }
-        return both
+    // The router of a controller's own host comes first.
+    private fun rankFor(chooser: MemberId, candidate: MemberId): Long {
+        if (candidate.host == chooser.host) return Long.MAX_VALUE
+        return rank(hashes.getValue(chooser), hashes.getValue(candidate))
     }
+
+    private fun choosing(id: MemberId): Set<MemberId> =
+        choices.filterValues { chosen -> chosen.any { it.id == id } }.keys
 }
--- a/peering/src/main/kotlin/org/hickorytiller/peering/PeerLink.kt
+++ b/peering/src/main/kotlin/org/hickorytiller/peering/PeerLink.kt
@@ -63,8 +63,10 @@
         while (true) {
             val channel = channel(address, limits.maxMessageBytes)
             try {
-                val end = runStream(channel)
-                counters.linkEnded(address.toString(), end.reason)
+                val session = PeerSession(exchange, clock, limits, counters, inbound = false)
+                val end = runStream(channel, session)
+                val peer = session.peer
+                if (peer == null) counters.count("link_${end.reason}") else counters.linkEnded("${peer.id}", end.reason)
             } finally {
                 channel.shutdownNow()
             }
@@ -72,15 +74,14 @@
         }
     }
 
-    private suspend fun runStream(channel: ManagedChannel): LinkEnd = try {
+    private suspend fun runStream(channel: ManagedChannel, session: PeerSession): LinkEnd = try {
         coroutineScope {
             val outgoing = Channel<PeerEnvelope>()
             val messages = stub(channel).exchange(outgoing.consumeAsFlow()).produceIn(this)
-            val session = PeerSession(exchange, clock, limits, counters, inbound = false)
             session.run(messages, outgoing::send).also { coroutineContext.cancelChildren() }
         }
     } catch (_: StatusException) {
-        LinkEnd.UNREACHABLE
+        if (session.peer == null) LinkEnd.UNREACHABLE else LinkEnd.CLOSED
     }
 
     /** Fetches the configuration of the peer at [address] if it is later than [known]; null if it is not. */
--- a/timeline/src/main/kotlin/org/hickorytiller/timeline/RouterMetrics.kt
+++ b/timeline/src/main/kotlin/org/hickorytiller/timeline/RouterMetrics.kt
@@ -26,7 +26,6 @@
     private val retries = counter("hickory_retries_total", "Requests sent again by reason", "reason")
     private val wastedTokens = counter("hickory_wasted_tokens_total", "Tokens that no caller received", "class")
     private val linkFailures = counter("hickory_link_failures_total", "Peer links lost by reason", "reason")
-    private val peerMessages = counter("hickory_peer_messages_total", "Peer messages by result", "result")
     private val firstTokens =
         Histogram
             .builder()
@@ -53,9 +52,6 @@
     /** Counts a peer link that was lost. */
     fun linkFailed(reason: String) = linkFailures.labelValues(reason).inc()
 
-    /** Counts a peer message by what became of it. */
-    fun peerMessage(result: String) = peerMessages.labelValues(result).inc()
-
     /** Registers a value that is read when the metrics are collected. */
     fun gauge(name: String, help: String, read: ReadGauge) {
         GaugeWithCallback.builder().name(name).help(help).callback { it.call(read()) }.register(registry)
