Connect membership, withdrawals, drain, timeline and metrics in the router

Cause: routers did not know each other: the address answer named only the router itself, a withdrawal reached one router, and SIGTERM cut off requests.

Ruled out: a list of pending withdrawals at one router (lost with it; every router repeats what the log has not delivered yet until the peer has named the hash).

Change: PeerTasks, WithdrawalExchange, DrainTask (SIGTERM and POST /drain, shutdown functions, exit code 0), OperationsEndpoint (/drain, /timeline), StateEvents, GET /metrics, address answers over all members. In files of others: one branch and two parameters in AdminEndpoint; CallerFrontEnd tracks each request from its head on and counts its end and first token; CallerAnswer knows whether it is complete; ServerConnection.flush waits until a response has left.

--- a/http/src/main/kotlin/org/hickorytiller/http/ServerConnection.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/ServerConnection.kt
@@ -17,7 +17,9 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.withTimeoutOrNull
 import java.io.ByteArrayOutputStream
 import java.net.InetSocketAddress
 
@@ -82,6 +84,13 @@
     suspend fun sendContinue(): Boolean =
         write(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE, Unpooled.EMPTY_BUFFER))
 
+    /** Suspends until all that was written has left the process. Returns false if the peer is gone or does not read. */
+    suspend fun flush(): Boolean {
+        val flushed = CompletableDeferred<Boolean>()
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener { flushed.complete(it.isSuccess) }
+        return withTimeoutOrNull(limits.writeTimeoutMs) { flushed.await() } == true
+    }
+
     /** Closes the connection at once, without ending a response in progress. */
     fun abort() {
         channel.close()
--- a/router/src/main/kotlin/org/hickorytiller/router/AdminEndpoint.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/AdminEndpoint.kt
@@ -14,6 +14,8 @@
     private val settings: RouterSettings,
     private val configuration: ConfigurationTask,
     private val keys: KeyRegistry,
+    private val operations: OperationsEndpoint,
+    private val onWithdrawn: (KeyHash) -> Unit,
 ) {
     /** Serves one connection until it is closed. */
     suspend fun serve(connection: ServerConnection) {
@@ -28,7 +30,7 @@
         when (head.path) {
             "/status" -> connection.respondJson(HttpStatus.OK, status())
             "/keys/withdraw" -> withdraw(connection, String(body).trim())
-            else -> connection.respondError(
+            else -> operations.answer(connection, head) ?: connection.respondError(
                 HttpStatus.NOT_FOUND,
                 "not_found",
                 "no such admin resource",
@@ -37,7 +39,7 @@
         }
 
     private suspend fun withdraw(connection: ServerConnection, hash: String): Boolean {
-        keys.withdraw(KeyHash(hash))
+        if (keys.withdraw(KeyHash(hash))) onWithdrawn(KeyHash(hash))
         return connection.respondJson(HttpStatus.OK, mapOf("withdrawn" to hash))
     }
 
--- a/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
@@ -24,6 +24,7 @@
 import org.hickorytiller.core.RequestClass
 import org.hickorytiller.core.Verdict
 import org.hickorytiller.dispatch.Dispatcher
+import org.hickorytiller.http.Headers
 import org.hickorytiller.http.HttpFault
 import org.hickorytiller.http.HttpStatus
 import org.hickorytiller.http.RequestHead
@@ -32,10 +33,14 @@
 import org.hickorytiller.keys.KeyRegistry
 import org.hickorytiller.keys.hashKey
 import org.hickorytiller.membership.AddressAnswer
+import org.hickorytiller.timeline.RouterMetrics
 
 /** Answers the address query for a caller in the given failure domain. */
 internal typealias AnswerAddresses = (FailureDomain?) -> AddressAnswer
 
+/** What the operation of the process needs from the front end. */
+internal class CallerOperations(val drain: DrainTask, val metrics: RouterMetrics, val answerAddresses: AnswerAddresses)
+
 /** Serves callers. Confined to the event loop. */
 internal class CallerFrontEnd(
     private val clock: Clock,
@@ -44,17 +49,26 @@
     private val admission: Admission,
     private val servers: BackendServerTable,
     private val dispatcher: Dispatcher,
-    private val answerAddresses: AnswerAddresses,
+    private val operations: CallerOperations,
 ) {
     /** Serves one connection until it is closed. */
     suspend fun serve(connection: ServerConnection) {
         while (true) {
             val head = connection.receive().getOrElse { return refuse(connection, it) }
-            val body = connection.receiveBody().getOrElse { return refuse(connection, it) }
-            if (!answer(connection, head, body) || connection.closeAfterResponse) return
+            val open = operations.drain.track(connection) { serve(connection, head) }
+            if (!open || connection.closeAfterResponse) return
         }
     }
 
+    private suspend fun serve(connection: ServerConnection, head: RequestHead): Boolean {
+        val body =
+            connection.receiveBody().getOrElse {
+                refuse(connection, it)
+                return false
+            }
+        return answer(connection, head, body)
+    }
+
     private suspend fun refuse(connection: ServerConnection, fault: HttpFault) {
         val error =
             when (fault) {
@@ -90,9 +104,10 @@
             "/ready" -> answerReady(connection)
             "/v1/address" -> connection.respondJson(
                 HttpStatus.OK,
-                answerAddresses(head.query("failureDomain")?.let(::FailureDomain)),
+                operations.answerAddresses(head.query("failureDomain")?.let(::FailureDomain)),
             )
             "/v1/models" -> answerModels(connection)
+            "/metrics" -> connection.respond(HttpStatus.OK, METRICS_HEADERS, operations.metrics.text())
             else -> run(connection, head, body)
         }
 
@@ -112,7 +127,9 @@
 
     private suspend fun run(connection: ServerConnection, head: RequestHead, body: ByteArray): Boolean {
         val request = resolve(head, body).getOrElse { return connection.fail(it) }
-        return runUntilWithdrawn(connection, request)
+        val open = runUntilWithdrawn(connection, request)
+        operations.metrics.requestEnded(request.requestClass.id.value, request.answer.outcome)
+        return open
     }
 
     private fun resolve(head: RequestHead, body: ByteArray): Either<CallerError, CallerRequest> {
@@ -139,6 +156,7 @@
             customer,
             keyHash,
             requestClass,
+            clock(),
         ).right()
     }
 
@@ -215,10 +233,13 @@
                     server,
                     onHead = { answer.start(connection, it) },
                     onChunk = { chunk ->
+                        request.answer.firstTokenAt(clock)?.let { at ->
+                            operations.metrics.firstToken(request.requestClass.id.value, at - request.arrivedAt)
+                        }
                         admission.charge(request.route.pool, request.customer, 1)
                         connection.writeChunk(chunk)
                     },
-                ).leftOrNull() ?: return connection.endResponse()
+                ).leftOrNull() ?: return answer.end(connection)
         return answer.fail(connection, CallerError.of(failure))
     }
 
@@ -231,6 +252,7 @@
 
     private companion object {
         const val CHAT_PATH = "/v1/chat/completions"
+        val METRICS_HEADERS = Headers.of("content-type" to RouterMetrics.CONTENT_TYPE)
         val OPEN_CUSTOMER = CustomerId("(open)")
         val NOT_READY =
             CallerError(
--- a/router/src/main/kotlin/org/hickorytiller/router/CallerRequest.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerRequest.kt
@@ -3,9 +3,11 @@
 
 import org.hickorytiller.configuration.PoolKind
 import org.hickorytiller.configuration.Route
+import org.hickorytiller.core.Clock
 import org.hickorytiller.core.CustomerId
 import org.hickorytiller.core.KeyHash
 import org.hickorytiller.core.RequestClass
+import org.hickorytiller.core.TimeMs
 import org.hickorytiller.core.Verdict
 import org.hickorytiller.dispatch.DispatchRequest
 import org.hickorytiller.http.Headers
@@ -28,6 +30,7 @@
     val customer: CustomerId,
     val keyHash: KeyHash?,
     val requestClass: RequestClass,
+    val arrivedAt: TimeMs,
 ) {
     val answer = CallerAnswer()
 
@@ -57,6 +60,11 @@
 /** The answer to one request: once its head is sent, an error can only be sent inside the body. */
 internal class CallerAnswer {
     private var started = false
+    private var tokenSeen = false
+    private var complete = false
+
+    /** The verdict for metrics if the request ended now; `answered` after a complete answer. */
+    val outcome: String get() = if (complete) "answered" else verdict.code
 
     /** The verdict if the request ended now. */
     var verdict = Verdict.NOT_RUN
@@ -68,6 +76,15 @@
         return connection.startResponse(head.status, Headers(passed))
     }
 
+    /** The time of the first call, which is that of the first token; null for all later ones. */
+    fun firstTokenAt(clock: Clock): TimeMs? = if (tokenSeen) null else clock().also { tokenSeen = true }
+
+    /** Ends a complete answer. */
+    suspend fun end(connection: ServerConnection): Boolean {
+        complete = true
+        return connection.endResponse()
+    }
+
     /** Reports [error] and returns whether the connection can be used for another request. */
     suspend fun fail(connection: ServerConnection, error: CallerError): Boolean {
         if (!started) return connection.fail(error)
--- a/router/src/main/kotlin/org/hickorytiller/router/Main.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/Main.kt
@@ -2,6 +2,7 @@
 package org.hickorytiller.router
 
 import arrow.core.getOrElse
+import kotlinx.coroutines.runBlocking
 import org.hickorytiller.core.text
 import org.hickorytiller.http.EventLoop
 import java.io.File
@@ -18,6 +19,20 @@
             faults.forEach { System.err.println("$path: $it") }
             exitProcess(2)
         }
-    Router(settings, EventLoop()).start()
+    val router = Router(settings, EventLoop())
+    router.start()
+    drainOnTermination(router)
     println("router ${settings.host} serves callers on ${settings.callerAddress.text()}")
+    runBlocking { router.ended.await() }
+    exitProcess(0)
+}
+
+/** On SIGTERM the process drains. The JVM would exit with 143 after the hook, so the hook ends it with 0 itself. */
+private fun drainOnTermination(router: Router) {
+    val hook = {
+        router.beginDrain()
+        runBlocking { router.ended.await() }
+        Runtime.getRuntime().halt(0)
+    }
+    Runtime.getRuntime().addShutdownHook(Thread(hook, "drain"))
 }
--- /dev/null
+++ b/router/src/main/kotlin/org/hickorytiller/router/OperationsEndpoint.kt
@@ -0,0 +1,51 @@
+/** The admin resources for the operation of a process: drain and timeline. */
+package org.hickorytiller.router
+
+import org.hickorytiller.core.Verdict
+import org.hickorytiller.http.HttpStatus
+import org.hickorytiller.http.RequestHead
+import org.hickorytiller.http.ServerConnection
+import org.hickorytiller.http.respondError
+import org.hickorytiller.http.respondJson
+import org.hickorytiller.timeline.Timeline
+import org.hickorytiller.timeline.TimelineEvent
+
+/** Answers `/drain` and `/timeline`. Confined to the event loop. */
+internal class OperationsEndpoint(private val drain: DrainTask, private val timeline: Timeline) {
+    /** Answers the request if it is for one of these resources; null if it is not. */
+    suspend fun answer(connection: ServerConnection, head: RequestHead): Boolean? = when (head.path) {
+        "/drain" -> answerDrain(connection, head)
+        "/timeline" -> answerTimeline(connection, head)
+        else -> null
+    }
+
+    private suspend fun answerDrain(connection: ServerConnection, head: RequestHead): Boolean {
+        if (head.method == "POST") drain.begin()
+        return connection.respondJson(HttpStatus.OK, drain.status())
+    }
+
+    private suspend fun answerTimeline(connection: ServerConnection, head: RequestHead): Boolean {
+        val after = head.query("after") ?: "0"
+        val sequence =
+            after.toLongOrNull() ?: return connection.respondError(
+                HttpStatus.BAD_REQUEST,
+                "invalid_request",
+                "after has to be the sequence of an event, found \"$after\"",
+                Verdict.NOT_RUN,
+            )
+        return connection.respondJson(HttpStatus.OK, mapOf("events" to timeline.since(sequence).map(::encode)))
+    }
+
+    private fun encode(event: TimelineEvent): Map<String, Any> = buildMap {
+        put("host", event.host.value)
+        put("process", event.process.value)
+        put("sequence", event.sequence)
+        put("wallTimeMs", event.wallTimeMs)
+        put("kind", event.kind.name.lowercase())
+        put("detail", event.detail)
+        event.position?.let {
+            put("stream", it.stream.value)
+            put("offset", it.offset.value)
+        }
+    }
+}
--- a/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
@@ -12,6 +12,8 @@
  * @property callerAddress where callers connect
  * @property adminAddress where operators connect
  * @property peerAddress where peers connect
+ * @property addressLifetimeMs time for which callers may keep an address answer
+ * @property drainLimitMs time after which a planned stop ends although requests are in flight
  */
 data class RouterSettings(
     val host: HostId,
@@ -23,6 +25,7 @@
     val orderAddress: InetSocketAddress,
     val hostListAddress: InetSocketAddress,
     val addressLifetimeMs: Long,
+    val drainLimitMs: Long,
 ) {
     companion object {
         /** Reads the settings from TOML, or lists every fault. */
@@ -38,6 +41,7 @@
                 orderAddress = platform.address("orderAddress"),
                 hostListAddress = platform.address("hostListAddress"),
                 addressLifetimeMs = it.long("addressLifetimeMs", 1_000L..600_000L, default = 10_000),
+                drainLimitMs = it.long("drainLimitMs", 1_000L..86_400_000L, default = 900_000),
             )
         }
     }
--- /dev/null
+++ b/router/src/test/kotlin/org/hickorytiller/router/PeerTasksTest.kt
@@ -0,0 +1,144 @@
+package org.hickorytiller.router
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.collections.shouldContainExactly
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.advanceTimeBy
+import kotlinx.coroutines.test.currentTime
+import kotlinx.coroutines.test.runTest
+import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.BackendServerState
+import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.KeyHash
+import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.TimeMs
+import org.hickorytiller.membership.Drain
+import org.hickorytiller.membership.DrainLimits
+import org.hickorytiller.peering.LinkExchange
+import org.hickorytiller.peering.MessageDraft
+import org.hickorytiller.timeline.EventKind
+import java.net.InetSocketAddress
+
+class WithdrawalExchangeTest : AnnotationSpec() {
+    private class Side {
+        val withdrawn = LinkedHashSet<KeyHash>()
+        var urgent = 0
+        val exchange = WithdrawalExchange({ withdrawn }, { withdrawn.add(it) }, { urgent++ })
+    }
+
+    private fun hash(index: Int) = KeyHash("%064x".format(index))
+
+    /** Sends one message; returns its hashes. */
+    private fun send(from: LinkExchange, to: LinkExchange?): List<KeyHash> {
+        val message = MessageDraft().also(from.fill).build(null, 1, 1)
+        to?.consume?.invoke(message)
+        return message.withdrawnKeys
+    }
+
+    @Test
+    fun `guards against a withdrawal that is forgotten before the peer has confirmed it, or repeated for ever`() {
+        val (a, b) = Side() to Side()
+        val (atA, atB) = a.exchange.open() to b.exchange.open()
+        a.withdrawn += hash(1)
+        send(atA, null) shouldContainExactly listOf(hash(1))
+        send(atA, atB) shouldContainExactly listOf(hash(1))
+        b.withdrawn shouldBe setOf(hash(1))
+        b.urgent shouldBe 1
+        send(atB, atA) shouldContainExactly listOf(hash(1))
+        repeat(3) {
+            send(atA, atB) shouldBe emptyList()
+            send(atB, atA) shouldBe emptyList()
+        }
+        val newLink = a.exchange.open()
+        send(newLink, null) shouldContainExactly listOf(hash(1))
+    }
+
+    @Test
+    fun `guards against a message over its limit when many keys are withdrawn`() {
+        val (a, b) = Side() to Side()
+        val (atA, atB) = a.exchange.open() to b.exchange.open()
+        a.withdrawn += List(2_500) { hash(it) }
+        val drafts = List(3) { MessageDraft().also(atA.fill) }
+        drafts.map { it.withdrawnKeys.size } shouldContainExactly listOf(1_000, 1_000, 1_000)
+        drafts.map { it.incomplete } shouldContainExactly listOf(true, true, false)
+        drafts.forEach { atB.consume(it.build(null, 1, 1)) }
+        b.withdrawn shouldBe a.withdrawn
+        repeat(3) { send(atB, atA) }
+        send(atA, atB) shouldBe emptyList()
+    }
+}
+
+class DrainTaskTest : AnnotationSpec() {
+    @OptIn(ExperimentalCoroutinesApi::class)
+    @Test
+    fun `guards against an exit before the shutdown functions have run and the last request has ended`() = runTest {
+        val steps = ArrayList<String>()
+        val clock = { TimeMs(currentTime + 100_000) }
+        val drain = Drain(DrainLimits(addressLifetimeMs = 10_000))
+        val task =
+            DrainTask(drain, clock, { steps += "leaving" }, { steps += "end" }) { kind, _, _ -> steps += kind.name.lowercase() }
+        var interruptions = 1
+        task.onShutdown("usage flush") {
+            steps += "flush at $currentTime with ${drain.inFlight} in flight"
+            if (interruptions-- > 0) {
+                drain.requestStarted(clock())
+                launch {
+                    delay(10_500)
+                    drain.requestEnded(clock())
+                }
+            }
+        }
+        task.onShutdown("fails") { error("the log is down") }
+        task.onShutdown("hangs") { delay(1_000_000) }
+        launch { task.run() }
+        advanceTimeBy(5_000)
+        steps shouldBe emptyList()
+        task.begin() shouldBe true
+        task.begin() shouldBe false
+        task.ended.await()
+        steps shouldContainExactly listOf(
+            "leaving",
+            "drain_started",
+            "drain_closing",
+            "flush at 17000 with 0 in flight",
+            "flush at 28500 with 0 in flight",
+            "drain_ended",
+            "end",
+        )
+    }
+}
+
+class StateEventsTest : AnnotationSpec() {
+    private fun server(name: String, state: BackendServerState) = BackendServer(
+        BackendServerId(name),
+        PoolId("chat"),
+        InetSocketAddress("127.0.0.1", 1),
+        FailureDomain("zone-a"),
+        state,
+        4,
+        false,
+    )
+
+    private fun list(vararg servers: BackendServer) = servers.associateBy { it.id }
+
+    private data class Case(val before: Map<BackendServerId, BackendServer>, val after: Map<BackendServerId, BackendServer>, val events: List<EventKind>)
+
+    @Test
+    fun `guards against changes of backend servers that the timeline misses or repeats`() {
+        val running = server("e", BackendServerState.RUNNING)
+        val leaving = server("e", BackendServerState.LEAVING)
+        listOf(
+            Case(list(), list(running), listOf(EventKind.BACKEND_SERVER_ADDED)),
+            Case(list(running), list(running), emptyList()),
+            Case(list(running), list(leaving), listOf(EventKind.BACKEND_SERVER_LEAVING)),
+            Case(list(leaving), list(leaving), emptyList()),
+            Case(list(leaving), list(), listOf(EventKind.BACKEND_SERVER_REMOVED)),
+            Case(list(), list(leaving), listOf(EventKind.BACKEND_SERVER_ADDED, EventKind.BACKEND_SERVER_LEAVING)),
+        ).forAll { case -> differences(case.before, case.after).map { it.first } shouldContainExactly case.events }
+    }
+}
