--- /dev/null
+++ b/membership/src/main/kotlin/org/hickorytiller/membership/ControllerRecord.kt
@@ -0,0 +1,30 @@
+/** The member record of a controller. */
+package org.hickorytiller.membership
+
+import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.HostId
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.core.wallTimeMs
+import org.hickorytiller.peering.MemberId
+import org.hickorytiller.peering.MemberRecord
+import org.hickorytiller.peering.MemberRole
+import org.hickorytiller.peering.MemberState
+
+/**
+ * The record with which a controller becomes a member. It has no peer address: a controller connects to routers and
+ * relays nothing. Start it with `PeerNode(controllerRecord(...), loop.group, loop.scope, readContacts).start()`.
+ */
+fun controllerRecord(
+    host: HostId,
+    process: ProcessId,
+    failureDomain: FailureDomain,
+    adminAddress: String = "",
+): MemberRecord = MemberRecord(
+    MemberId(host, MemberRole.CONTROLLER),
+    process,
+    failureDomain,
+    incarnation = wallTimeMs(),
+    version = 0,
+    MemberState.ALIVE,
+    adminAddress = adminAddress,
+)
--- a/membership/src/main/kotlin/org/hickorytiller/membership/PeerNode.kt
+++ b/membership/src/main/kotlin/org/hickorytiller/membership/PeerNode.kt
@@ -72,7 +72,10 @@
         exchange.connect(::openExchange)
     }
 
-    /** Starts listening, unless this process has no peer address, and connecting. */
+    /**
+     * Starts listening, unless this process has no peer address, and connecting. To be called once and outside the
+     * event loop, since binding blocks. Throws [java.io.IOException] if the address is in use.
+     */
     fun start(calls: PeerCalls = PeerCalls()) {
         parseAddress(membership.table.own.peerAddress)?.let { address ->
             PeerServer.Builder(exchange, calls, counters, limits.links).start(group, address)
--- a/router/src/main/kotlin/org/hickorytiller/router/PeerTasks.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/PeerTasks.kt
@@ -24,6 +24,7 @@
 import org.hickorytiller.peering.MemberRole
 import org.hickorytiller.peering.MemberState
 import org.hickorytiller.peering.PeerCalls
+import org.hickorytiller.peering.isExchangeable
 import org.hickorytiller.platform.HostListClient
 import org.hickorytiller.timeline.EventKind
 
@@ -92,7 +93,8 @@
     private fun pendingWithdrawals(): Collection<KeyHash> {
         val current = keys.withdrawnHashes().size to configuration.state.offset
         if (current != pendingFor) {
-            pending = keys.withdrawnHashes() - configuration.state.withdrawn
+            val unpublished = keys.withdrawnHashes() - configuration.state.withdrawn
+            pending = unpublished.filterTo(LinkedHashSet()) { it.isExchangeable }
             pendingFor = current
         }
         return pending
