Compute the links of all members faster

Cause: a stack sample of PropagationTest showed the hash lookups of rankFor in the first computation of all links. Ruled out: keeping both directions for every member (about 1 KB per member and process). Change: candidates carry their hash; the hash of the chooser is looked up once.

--- a/membership/src/main/kotlin/org/hickorytiller/membership/Neighbourhood.kt
+++ b/membership/src/main/kotlin/org/hickorytiller/membership/Neighbourhood.kt
@@ -12,6 +12,8 @@
 class Neighbourhood(private val limits: MembershipLimits) {
     private class Choice(val id: MemberId, val rank: Long)
 
+    private class Candidate(val id: MemberId, val hash: Long)
+
     private var epoch = -1L
     private val hashes = HashMap<MemberId, Long>()
     private val choices = HashMap<MemberId, List<Choice>>()
@@ -44,36 +46,39 @@
         hashes -= gone
         choices -= gone
         val incomplete = choices.filterValues { chosen -> chosen.any { it.id in gone } }.keys
-        incomplete.forEach { choices[it] = best(it, emptyList(), hashes.keys) }
+        val routers = candidates(hashes.keys)
+        incomplete.forEach { choices[it] = best(it, emptyList(), routers) }
     }
 
     private fun add(newcomers: Set<MemberId>) {
         val established = choices.keys.toList()
         newcomers.forEach { hashes[it] = idHash(it) }
-        established.forEach { choices[it] = best(it, choices.getValue(it), newcomers) }
-        newcomers.forEach { choices[it] = best(it, emptyList(), hashes.keys) }
+        val newRouters = candidates(newcomers)
+        established.forEach { choices[it] = best(it, choices.getValue(it), newRouters) }
+        val routers = candidates(hashes.keys)
+        newcomers.forEach { choices[it] = best(it, emptyList(), routers) }
     }
 
+    private fun candidates(ids: Set<MemberId>): List<Candidate> =
+        ids.filter { it.role == MemberRole.ROUTER }.map { Candidate(it, hashes.getValue(it)) }
+
     /** The highest ranked of [present] and [candidates] for [chooser]. */
-    private fun best(chooser: MemberId, present: List<Choice>, candidates: Set<MemberId>): List<Choice> {
+    private fun best(chooser: MemberId, present: List<Choice>, candidates: List<Candidate>): List<Choice> {
         val count = if (chooser.role == MemberRole.ROUTER) limits.outgoingLinks else limits.controllerLinks
+        val hash = hashes.getValue(chooser)
         val best = ArrayList(present)
         for (candidate in candidates) {
-            if (candidate.role != MemberRole.ROUTER || candidate == chooser) continue
-            val rank = rankFor(chooser, candidate)
-            if (best.size == count && best.last().rank >= rank) continue
-            best.add(best.count { it.rank >= rank }, Choice(candidate, rank))
+            val rank = rank(hash, candidate.hash)
+            if (best.size == count && best.last().rank >= rank && candidate.id.host != chooser.host) continue
+            if (candidate.id == chooser) continue
+            // The router of a controller's own host comes first.
+            val preferred = if (candidate.id.host == chooser.host) Long.MAX_VALUE else rank
+            best.add(best.count { it.rank >= preferred }, Choice(candidate.id, preferred))
             if (best.size > count) best.removeAt(best.lastIndex)
         }
         return best
     }
 
-    // The router of a controller's own host comes first.
-    private fun rankFor(chooser: MemberId, candidate: MemberId): Long {
-        if (candidate.host == chooser.host) return Long.MAX_VALUE
-        return rank(hashes.getValue(chooser), hashes.getValue(candidate))
-    }
-
     private fun choosing(id: MemberId): Set<MemberId> =
         choices.filterValues { chosen -> chosen.any { it.id == id } }.keys
 }
