Move a comment of the member table to the function it explains

Cause: the reason why dead members stay out of the digest stood above mergeOwn. Nothing else was changed. Figures: 18 tests of membership and router, 0 failed (MemberTableTest, DrainTest, AddressAnswerTest, router tests).

--- a/membership/src/main/kotlin/org/hickorytiller/membership/MemberTable.kt
+++ b/membership/src/main/kotlin/org/hickorytiller/membership/MemberTable.kt
@@ -132,7 +132,6 @@
         return TableNews(records, last, complete = true)
     }
 
-    // Dead members stay out of the comparison: processes forget them at slightly different times.
     private fun mergeOwn(record: MemberRecord, now: TimeMs, mayClaimName: Boolean): Merged {
         val difference = order.compare(record, own)
         if (difference == 0) return Merged.UNCHANGED
@@ -160,6 +159,7 @@
         if (previous != null || record.id != own.id) onChange(record, previous?.record)
     }
 
+    // Dead members stay out of the comparison: processes forget them at slightly different times.
     private fun updateDigest(record: MemberRecord, previous: MemberRecord?) {
         val wasLive = previous != null && previous.state != MemberState.DEAD
         val isLive = record.state != MemberState.DEAD
