--- a/router/src/main/kotlin/org/hickorytiller/router/CallerAnswer.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerAnswer.kt
@@ -1,7 +1,10 @@
 /** The answer to one request on its caller's connection. */
 package org.hickorytiller.router
 
+import org.hickorytiller.core.Clock
+import org.hickorytiller.core.TimeMs
 import org.hickorytiller.core.Verdict
+import org.hickorytiller.core.monotonicClock
 import org.hickorytiller.dispatch.RecordedOutcome
 import org.hickorytiller.http.Headers
 import org.hickorytiller.http.ResponseHead
@@ -10,9 +13,17 @@
 import org.hickorytiller.http.respondError
 
 /** Sends one answer. Once its head is sent, an error can only be sent inside the body. */
-internal class CallerAnswer(private val connection: ServerConnection) {
+internal class CallerAnswer(private val connection: ServerConnection, private val clock: Clock = monotonicClock) {
     private var started = false
 
+    /** When the first event of a streamed answer, or a whole answer, was passed on; null before. */
+    var firstEventAt: TimeMs? = null
+        private set
+
+    /** `answered` after a complete answer, otherwise the code of the verdict. */
+    var outcome: String = Verdict.NOT_RUN.code
+        private set
+
     /** The verdict if the request ended now. */
     var verdict = Verdict.NOT_RUN
 
@@ -23,26 +34,37 @@
     }
 
     /** Sends a whole event of a streamed answer. */
-    suspend fun event(bytes: ByteArray): Boolean = connection.writeChunk(bytes)
+    suspend fun event(bytes: ByteArray): Boolean {
+        noteFirst()
+        return connection.writeChunk(bytes)
+    }
 
     /** Ends a streamed answer. Returns whether the connection can be used for another request. */
-    suspend fun end(): Boolean = connection.endResponse()
+    suspend fun end(): Boolean {
+        outcome = ANSWERED
+        return connection.endResponse()
+    }
 
     /** Sends a whole answer. */
-    suspend fun whole(head: ResponseHead, body: ByteArray): Boolean =
-        connection.respond(head.status, passed(head), body)
+    suspend fun whole(head: ResponseHead, body: ByteArray): Boolean {
+        noteFirst()
+        outcome = ANSWERED
+        return connection.respond(head.status, passed(head), body)
+    }
 
     /** Repeats the recorded answer to a request that ran before. */
-    suspend fun repeat(outcome: RecordedOutcome): Boolean {
+    suspend fun repeat(recorded: RecordedOutcome): Boolean {
+        outcome = ANSWERED
         val fields = listOfNotNull(
-            outcome.contentType?.let { Headers.Field("content-type", it) },
+            recorded.contentType?.let { Headers.Field("content-type", it) },
             Headers.Field("idempotency-replayed", "true"),
         )
-        return connection.respond(outcome.status, Headers(fields), outcome.body)
+        return connection.respond(recorded.status, Headers(fields), recorded.body)
     }
 
     /** Reports [error] and returns whether the connection can be used for another request. */
     suspend fun fail(error: CallerError): Boolean {
+        outcome = error.verdict.code
         if (!started) return connection.fail(error)
         val event = errorBody(error.code, error.message, error.verdict)
         connection.writeChunk("event: error\ndata: ".toByteArray() + event + "\n\n".toByteArray())
@@ -51,10 +73,15 @@
         return false
     }
 
+    private fun noteFirst() {
+        if (firstEventAt == null) firstEventAt = clock()
+    }
+
     private fun passed(head: ResponseHead) =
         Headers(head.headers.fields.filter { it.name.lowercase() in PASSED_FIELDS })
 
     private companion object {
+        const val ANSWERED = "answered"
         val PASSED_FIELDS = setOf(
             "content-type", "content-encoding", "content-language", "content-disposition",
             "cache-control", "etag", "last-modified", "location", "retry-after",
--- a/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
@@ -18,23 +18,28 @@
 import org.hickorytiller.http.respondJson
 import org.hickorytiller.keys.KeyRegistry
 import org.hickorytiller.membership.AddressAnswer
+import org.hickorytiller.timeline.RouterMetrics
 
 /** Answers the address query for a caller in the given failure domain. */
 internal typealias AnswerAddresses = (FailureDomain?) -> AddressAnswer
 
+/** What the operation of the process needs from the front end. */
+internal class CallerOperations(val drain: DrainTask, val metrics: RouterMetrics, val answerAddresses: AnswerAddresses)
+
 /** Serves callers. Confined to the event loop. */
 internal class CallerFrontEnd(
     private val currentDocument: CurrentDocument,
     private val keys: KeyRegistry,
     private val resolver: RequestResolver,
     private val runner: RequestRunner,
-    private val answerAddresses: AnswerAddresses,
+    private val operations: CallerOperations,
 ) {
     /** Serves one connection until it is closed. */
     suspend fun serve(connection: ServerConnection) {
         while (true) {
             val head = connection.receive().getOrElse { return refuse(connection, it) }
-            if (!answer(connection, head) || connection.closeAfterResponse) return
+            val open = operations.drain.track(connection) { answer(connection, head) }
+            if (!open || connection.closeAfterResponse) return
         }
     }
 
@@ -51,7 +56,10 @@
         "/ready" -> read(connection, head) { answerReady(connection) }
         "/v1/address" -> read(connection, head) {
             val domain = head.query("failureDomain")?.let(::FailureDomain)
-            connection.respondJson(HttpStatus.OK, answerAddresses(domain))
+            connection.respondJson(HttpStatus.OK, operations.answerAddresses(domain))
+        }
+        "/metrics" -> read(connection, head) {
+            connection.respond(HttpStatus.OK, METRICS_HEADERS, operations.metrics.text())
         }
         "/v1/models" -> read(connection, head) { answerModels(connection) }
         CHAT_PATH -> withMethod(connection, head, CHAT_METHODS) { serveRequest(connection, head) }
@@ -109,12 +117,20 @@
             return false
         }
         val request = resolver.resolve(head, body).getOrElse { return connection.fail(it) }
-        return runWhileWanted(connection, request)
+        val answer = CallerAnswer(connection)
+        val open = runWhileWanted(connection, request, answer)
+        val requestClass = request.requestClass.id.value
+        operations.metrics.requestEnded(requestClass, answer.outcome)
+        answer.firstEventAt?.let { operations.metrics.firstToken(requestClass, it - request.arrivedAt) }
+        return open
     }
 
     /** Runs [request] until its caller leaves or its key is withdrawn. */
-    private suspend fun runWhileWanted(connection: ServerConnection, request: CallerRequest): Boolean = coroutineScope {
-        val answer = CallerAnswer(connection)
+    private suspend fun runWhileWanted(
+        connection: ServerConnection,
+        request: CallerRequest,
+        answer: CallerAnswer,
+    ): Boolean = coroutineScope {
         val work = async { runner.run(request, answer) }
         val watch = launch {
             connection.closed.await()
@@ -137,6 +153,7 @@
     }
 
     private companion object {
+        val METRICS_HEADERS = Headers.of("content-type" to RouterMetrics.CONTENT_TYPE)
         val READ_METHODS = listOf("GET", "HEAD")
         val CHAT_METHODS = listOf("POST")
         val SERVICE_METHODS = listOf("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE")
--- a/router/src/main/kotlin/org/hickorytiller/router/Router.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/Router.kt
@@ -1,6 +1,7 @@
 /** Wires the slices of a router process and starts its tasks. */
 package org.hickorytiller.router
 
+import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.launch
 import org.hickorytiller.admission.Admission
 import org.hickorytiller.admission.CustomerLimits
@@ -11,11 +12,11 @@
 import org.hickorytiller.configuration.PoolKind
 import org.hickorytiller.core.ClassId
 import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.LogOffset
 import org.hickorytiller.core.PoolId
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.core.Tier
 import org.hickorytiller.core.monotonicClock
-import org.hickorytiller.core.text
 import org.hickorytiller.dispatch.Dispatcher
 import org.hickorytiller.dispatch.IntentAnswer
 import org.hickorytiller.dispatch.IntentLimits
@@ -25,23 +26,34 @@
 import org.hickorytiller.http.HttpLimits
 import org.hickorytiller.http.HttpServer
 import org.hickorytiller.keys.KeyRegistry
-import org.hickorytiller.membership.AddressAnswer
+import org.hickorytiller.membership.Drain
+import org.hickorytiller.membership.DrainLimits
+import org.hickorytiller.peering.ConfigurationCopy
+import org.hickorytiller.peering.MemberState
+import org.hickorytiller.peering.PeerCalls
+import org.hickorytiller.platform.HostListClient
 import org.hickorytiller.platform.LogClient
 import org.hickorytiller.platform.OrderClient
+import org.hickorytiller.timeline.EventKind
+import org.hickorytiller.timeline.RouterMetrics
+import org.hickorytiller.timeline.Timeline
 import org.hickorytiller.usage.UsageCounter
 import java.util.UUID
 
 /** A router process. */
 internal class Router(private val settings: RouterSettings, private val loop: EventLoop) {
+    private val process = ProcessId(UUID.randomUUID().toString())
     private val limits = HttpLimits()
     private val client = HttpClient(loop.group, limits)
     private val logClient = LogClient(client, settings.logAddress)
     private val orderClient = OrderClient(client, settings.orderAddress)
+    private val timeline = Timeline(settings.host, process)
+    private val metrics = RouterMetrics()
     private val keys = KeyRegistry()
-    private val configuration = ConfigurationTask(logClient::read, keys)
-    private val run = ProcessId("${settings.host}-${UUID.randomUUID()}")
+    private val configuration: ConfigurationTask =
+        ConfigurationTask(logClient::read, keys) { known -> peers.fetchConfiguration(known)?.state }
     private val shares: PeerShares =
-        PeerShares(run) { pool -> servers.slots(pool) }
+        PeerShares(process) { pool -> servers.slots(pool) }
     private val servers: BackendServerTable = BackendServerTable(monotonicClock, quotasOf = shares::quotas)
     private val admission =
         Admission(
@@ -55,15 +67,15 @@
         )
     private val intents =
         IntentTask(
-            IntentWriter(settings.host, run),
+            IntentWriter(settings.host, process),
             settings.intentPartitions,
             IntentLog(logClient::append, logClient::read),
             monotonicClock,
             queryPeer = { _, _, _ -> IntentAnswer.Unknown },
             IntentLimits(windowMs = settings.idempotencyWindowMs),
         )
-    private val dispatcher = Dispatcher(client, monotonicClock, run)
-    private val usage = UsageCounter(settings.host.value, run.value, monotonicClock())
+    private val dispatcher = Dispatcher(client, monotonicClock, process)
+    private val usage = UsageCounter(settings.host.value, process.value, monotonicClock())
     private val usageTask = UsageTask(usage, monotonicClock, logClient::append)
     private val slices =
         RequestSlices(
@@ -77,6 +89,22 @@
             },
             hedgeAfterMs = settings.hedgeAfterMs,
         )
+    private val drain = Drain(DrainLimits(settings.addressLifetimeMs, limitMs = settings.drainLimitMs))
+    private val hostList = HostListClient(client, settings.hostListAddress)
+    private val peers: PeerTasks =
+        PeerTasks(
+            settings,
+            loop,
+            process,
+            hostList,
+            keys,
+            configuration,
+            ProcessEvents(timeline, metrics),
+            ::loadPermille,
+        )
+    private val drainTask =
+        DrainTask(drain, monotonicClock, peers.node::announceLeaving, peers.node::announceEnd, timeline::record)
+    private val operations = CallerOperations(drainTask, metrics, peers::answerAddresses)
     private val currentDocument: CurrentDocument = { configuration.state.document.takeIf { configuration.ready } }
     private val frontEnd =
         CallerFrontEnd(
@@ -84,18 +112,30 @@
             keys,
             RequestResolver(monotonicClock, currentDocument, keys),
             RequestRunner(monotonicClock, slices, loop.scope),
-        ) {
-            AddressAnswer(listOf(settings.callerAddress.text()), settings.addressLifetimeMs)
-        }
-    private val admin = AdminEndpoint(settings, configuration, keys)
+            operations,
+        )
+    private val admin =
+        AdminEndpoint(
+            settings,
+            configuration,
+            keys,
+            peers::withdrawn,
+            OperationsEndpoint(drainTask, timeline).resources,
+        )
+
+    /** Completes when a planned stop has ended. */
+    val ended: Deferred<Unit> get() = drainTask.ended
 
     /** Starts listening and following the platform. */
     fun start() {
+        timeline.record(EventKind.PROCESS_STARTED, "router on ${settings.callerAddress}")
+        registerGauges()
         loop.scope.launch { configuration.run() }
+        loop.scope.launch { recordConfigurations(configuration, timeline::record) }
         loop.scope.launch { intents.run() }
         loop.scope.launch { usageTask.run() }
         loop.scope.launch {
-            followBackendServers(orderClient::backendServers, servers) {
+            followBackendServers(recordBackendServers(orderClient::backendServers, timeline::record), servers) {
                 shares.serversChanged()
                 moveFromReclaimed(dispatcher, servers, monotonicClock)
                 configuration.state.document.pools.keys.forEach(admission::grantFreeSlots)
@@ -109,12 +149,22 @@
                 read = loadReader(client),
             )
         }
+        loop.scope.launch { drainTask.run() }
+        drainTask.onShutdown("usage flush") { usageTask.drain(USAGE_DRAIN_TIMEOUT_MS) }
+        peers.start(PeerCalls(answerConfiguration = ::answerConfiguration))
         HttpServer.start(loop.group, loop.scope, settings.callerAddress, limits, frontEnd::serve)
         HttpServer.start(loop.group, loop.scope, settings.adminAddress, limits, admin::serve)
     }
 
     private fun BackendServerTable.slots(pool: PoolId) = available(pool).map { ServerSlots(it.id, it.slots) }
 
+    private fun answerConfiguration(known: LogOffset): ConfigurationCopy? =
+        if (configuration.ready && configuration.state.offset > known) {
+            ConfigurationCopy(configuration.state.offset, configuration.encodeForPeer())
+        } else {
+            null
+        }
+
     private fun topTier(pool: PoolId): Tier {
         val document = configuration.state.document
         val classes = document.routes.filter { it.pool == pool }.flatMap { it.classes }
@@ -126,4 +176,38 @@
         if (requestClass != null || configured == null) return CustomerLimits.NONE
         return CustomerLimits(configured.requestsPerMinute, configured.maxConcurrent)
     }
+
+    /** Begins a planned stop. May be called from any thread. */
+    fun beginDrain() {
+        loop.scope.launch { drainTask.begin() }
+    }
+
+    /** The router's requests in flight against its even share of all slots. */
+    private fun loadPermille(): Int {
+        val pools = configuration.state.document.pools.keys
+        val slots = pools.sumOf { pool -> servers.available(pool).sumOf { it.slots } }
+        val routers = peers.node.live().count { it.callerAddress.isNotEmpty() && it.state == MemberState.ALIVE }
+        if (slots == 0) return 0
+        return (drain.inFlight * FULL_PERMILLE * maxOf(1, routers) / slots).coerceAtMost(FULL_PERMILLE)
+    }
+
+    private fun registerGauges() {
+        metrics.gauge("hickory_in_flight", "Requests in flight") { drain.inFlight.toDouble() }
+        metrics.gauge("hickory_peer_links", "Established links to peers") { peers.node.exchange.linkCount().toDouble() }
+        metrics.gauges("hickory_queue_length", "Waiting requests by pool", "pool") {
+            configuration.state.document.pools.keys.associate { it.value to admission.waiting(it).toDouble() }
+        }
+        metrics.gauges("hickory_members", "Members by state", "state") {
+            peers.node.membership.table.records()
+                .groupingBy { it.state.name.lowercase() }.eachCount().mapValues { it.value.toDouble() }
+        }
+        metrics.gauges("hickory_peer_events", "Messages and links of peers by what became of them", "event") {
+            peers.node.counters.all().mapValues { it.value.toDouble() }
+        }
+    }
+
+    private companion object {
+        const val FULL_PERMILLE = 1_000
+        const val USAGE_DRAIN_TIMEOUT_MS = 5_000L
+    }
 }
--- a/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RouterSettings.kt
@@ -19,6 +19,8 @@
  * @property idempotencyWindowMs how long an `Idempotency-Key` is remembered: the log's retention less one hour
  * @property hedgeAfterMs time to the first token after which a second server is asked too for an idempotent request;
  *   null for never, which is the default
+ * @property addressLifetimeMs time for which callers may keep an address answer
+ * @property drainLimitMs time after which a planned stop ends although requests are in flight
  */
 data class RouterSettings(
     val host: HostId,
@@ -34,6 +36,7 @@
     val intentPartitions: Int,
     val idempotencyWindowMs: Long,
     val hedgeAfterMs: Long?,
+    val drainLimitMs: Long,
 ) {
     companion object {
         /** Reads the settings from TOML, or lists every fault. */
@@ -57,6 +60,7 @@
                 intentPartitions = it.long("intentPartitions", 1L..256L, default = 1).toInt(),
                 idempotencyWindowMs = it.long("idempotencyWindowMs", 60_000L..604_800_000L, default = 82_800_000),
                 hedgeAfterMs = it.long("hedgeAfterMs", 0L..600_000L, default = 0).takeIf { afterMs -> afterMs > 0 },
+                drainLimitMs = it.long("drainLimitMs", 1_000L..86_400_000L, default = 900_000),
             )
         }
     }
--- a/router/src/test/kotlin/org/hickorytiller/router/CallerFrontEndTest.kt
+++ b/router/src/test/kotlin/org/hickorytiller/router/CallerFrontEndTest.kt
@@ -154,6 +154,9 @@
 
     @Test
     fun `guards against a grant that is lost on a request which no free server may run`() {
+        world.close()
+        // The requests have to wait for each other, which a class with a short target would refuse at once.
+        world = CallerWorld(firstTokenTargetMs = 5_000)
         world.onPlatform { world.engines[0].control = world.engines[0].control.copy(errorStatus = 503) }
         world.onPlatform { world.engines[1].control = EngineControl(firstTokenMs = 100, betweenTokensMs = 5) }
         val sockets = List(8) { n -> world.connect().also { it.getOutputStream().write(world.chat(true, 6, "r$n").toByteArray()) } }
--- a/router/src/test/kotlin/org/hickorytiller/router/CallerWorld.kt
+++ b/router/src/test/kotlin/org/hickorytiller/router/CallerWorld.kt
@@ -35,11 +35,14 @@
 import org.hickorytiller.keys.KeyRegistry
 import org.hickorytiller.keys.hashKey
 import org.hickorytiller.membership.AddressAnswer
+import org.hickorytiller.membership.Drain
+import org.hickorytiller.membership.DrainLimits
 import org.hickorytiller.platform.LogClient
 import org.hickorytiller.standins.EngineControl
 import org.hickorytiller.standins.EngineStandIn
 import org.hickorytiller.standins.LogStandIn
 import org.hickorytiller.standins.PlainServiceStandIn
+import org.hickorytiller.timeline.RouterMetrics
 import org.hickorytiller.usage.Served
 import java.io.IOException
 import java.net.InetSocketAddress
@@ -104,12 +107,14 @@
         )
         dispatcher = Dispatcher(client, monotonicClock, run, onWasted = wasted::add)
         val slices = RequestSlices(admission, servers, dispatcher, intents, { requestClass.tier }, { _, served -> uses += served })
+        val drain = DrainTask(Drain(DrainLimits(10_000)), monotonicClock, {}, {}, { _, _, _ -> })
         val frontEnd = CallerFrontEnd(
             { document },
             keys,
             RequestResolver(monotonicClock, { document }, keys),
             RequestRunner(monotonicClock, slices, loop.scope),
-        ) { AddressAnswer(listOf("127.0.0.1:1"), 10_000) }
+            CallerOperations(drain, RouterMetrics()) { AddressAnswer(listOf("127.0.0.1:1"), 10_000) },
+        )
         server = HttpServer.start(loop.group, loop.scope, anyPort, limits, frontEnd::serve)
         loop.scope.launch { intents.run() }
         onLoop { withTimeout(5_000) { while (!intents.isReady) delay(5) } }
