Exchange demand, quarantines and intents between routers

Cause: the routers shared no demand, so each used all slots of every backend server; a quarantined request was refused on one router only; a re-sent refund at another router was always answered may_have_run.

Ruled out: reports as increments (a lost message would leave a lasting error); sending eviction notices (every router reads the list of backend servers every 500 ms anyway).

Change: DemandExchange (one report every 500 ms to each neighbour), QuarantineExchange, queries of the first router's intent; peer.proto carries pool, tier and offered slots; a dead or replaced process gives its slots back; withdrawals that the log lacks are appended by the first router by name.

Before: peers exchanged members, withdrawals and load only. After: all of these. Conclusion: the slices of several routers act on the same reports.

--- a/peering/src/main/kotlin/org/hickorytiller/peering/PeerMessage.kt
+++ b/peering/src/main/kotlin/org/hickorytiller/peering/PeerMessage.kt
@@ -7,7 +7,9 @@
 import org.hickorytiller.core.FailureDomain
 import org.hickorytiller.core.KeyHash
 import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.PoolId
 import org.hickorytiller.core.ProcessId
+import org.hickorytiller.core.Tier
 
 /** The process at the other end of a link. */
 data class PeerIdentity(val id: MemberId, val process: ProcessId)
@@ -18,11 +20,19 @@
 /** Notice that the backend servers of a failure domain are about to be reclaimed. */
 data class EvictionNews(val failureDomain: FailureDomain, val remainingMs: Long)
 
-/** Demand of one class at the sender. */
-data class ClassDemand(val requestClass: ClassId, val waiting: Int, val running: Int, val arrivalsPerMinute: Int)
+/** Demand of one class in one pool at the sender. */
+data class ClassDemand(
+    val pool: PoolId,
+    val requestClass: ClassId,
+    val tier: Tier,
+    val waiting: Int,
+    val running: Int,
+    val offeredSlots: Int,
+)
 
-/** Service that a customer has had from the sender, as a total since the sender's start. */
+/** Service that a customer has had from the sender lately: present values that decay, not increments. */
 data class CustomerCharge(
+    val pool: PoolId,
     val requestClass: ClassId,
     val customer: CustomerId,
     val chargedTokens: Long,
@@ -31,7 +41,7 @@
 )
 
 /** The sender's requests on one backend server. */
-data class BackendLoad(val backendServer: BackendServerId, val inFlight: Int, val waitingShare: Int)
+data class BackendLoad(val backendServer: BackendServerId, val inFlight: Int)
 
 /** Demand and charges at the sender. A report replaces the one before it. */
 data class DemandReport(
--- a/peering/src/main/kotlin/org/hickorytiller/peering/PeerMessageCodec.kt
+++ b/peering/src/main/kotlin/org/hickorytiller/peering/PeerMessageCodec.kt
@@ -13,7 +13,9 @@
 import org.hickorytiller.core.FailureDomain
 import org.hickorytiller.core.HostId
 import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.PoolId
 import org.hickorytiller.core.ProcessId
+import org.hickorytiller.core.Tier
 import org.hickorytiller.peering.generated.BackendInFlight
 import org.hickorytiller.peering.generated.EvictionRecord
 import org.hickorytiller.peering.generated.PeerEnvelope
@@ -153,7 +155,9 @@
     .setClassId(requestClass.value)
     .setWaiting(waiting)
     .setRunning(running)
-    .setArrivalsPerMinute(arrivalsPerMinute)
+    .setPool(pool.value)
+    .setTier(tier.value)
+    .setOfferedSlots(offeredSlots)
     .build()
 
 private fun CustomerCharge.toWire(): WireCustomerCharge = WireCustomerCharge
@@ -163,27 +167,30 @@
     .setChargedTokens(chargedTokens)
     .setRunning(running)
     .setRequestsPerMinute(requestsPerMinute)
+    .setPool(pool.value)
     .build()
 
 private fun BackendLoad.toWire(): BackendInFlight = BackendInFlight
     .newBuilder()
     .setBackendServer(backendServer.value)
     .setInFlight(inFlight)
-    .setWaitingShare(waitingShare)
     .build()
 
 private fun WireDemandReport.toReport() = DemandReport(
     sequence.atLeast(0, "demand.sequence"),
     classesList.map {
         ClassDemand(
+            PoolId(it.pool.name("demand.pool")),
             ClassId(it.classId.name("demand.class_id")),
+            Tier(it.tier.count("demand.tier")),
             it.waiting.count("demand.waiting"),
             it.running.count("demand.running"),
-            it.arrivalsPerMinute.count("demand.arrivals_per_minute"),
+            it.offeredSlots.count("demand.offered_slots"),
         )
     },
     customersList.map {
         CustomerCharge(
+            PoolId(it.pool.name("demand.pool")),
             ClassId(it.classId.name("demand.class_id")),
             CustomerId(it.customer.name("demand.customer")),
             it.chargedTokens.atLeast(0, "demand.charged_tokens"),
@@ -195,7 +202,6 @@
         BackendLoad(
             BackendServerId(it.backendServer.name("demand.backend_server")),
             it.inFlight.count("demand.in_flight"),
-            it.waitingShare.count("demand.waiting_share"),
         )
     },
 )
--- a/peering/src/test/kotlin/org/hickorytiller/peering/PeerContractTest.kt
+++ b/peering/src/test/kotlin/org/hickorytiller/peering/PeerContractTest.kt
@@ -264,9 +264,9 @@
             listOf(EvictionNews(org.hickorytiller.core.FailureDomain("z"), 20)),
             DemandReport(
                 1,
-                listOf(ClassDemand(org.hickorytiller.core.ClassId("c"), 1, 2, 3)),
-                listOf(CustomerCharge(org.hickorytiller.core.ClassId("c"), org.hickorytiller.core.CustomerId("u"), 4, 5, 6)),
-                listOf(BackendLoad(org.hickorytiller.core.BackendServerId("b"), 7, 8)),
+                listOf(ClassDemand(org.hickorytiller.core.PoolId("p"), org.hickorytiller.core.ClassId("c"), org.hickorytiller.core.Tier(1), 1, 2, 3)),
+                listOf(CustomerCharge(org.hickorytiller.core.PoolId("p"), org.hickorytiller.core.ClassId("c"), org.hickorytiller.core.CustomerId("u"), 4, 5, 6)),
+                listOf(BackendLoad(org.hickorytiller.core.BackendServerId("b"), 7)),
             ),
         )
         listOf(full, PeerMessage(incarnation = 1, sequence = 1)).forAll { it.toEnvelope().toMessage().getOrNull() shouldBe it }
--- /dev/null
+++ b/router/src/main/kotlin/org/hickorytiller/router/DemandExchange.kt
@@ -0,0 +1,112 @@
+/**
+ * Passes demand, charges and requests in flight between the routers of a cell, so that they divide the slots of the
+ * backend servers and treat customers alike without a central counter. A report replaces the one before it.
+ */
+package org.hickorytiller.router
+
+import kotlinx.coroutines.delay
+import org.hickorytiller.admission.Admission
+import org.hickorytiller.admission.ClassDemand
+import org.hickorytiller.admission.CustomerReport
+import org.hickorytiller.admission.PeerReport
+import org.hickorytiller.admission.PeerShares
+import org.hickorytiller.balancing.BackendServerTable
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.peering.BackendLoad
+import org.hickorytiller.peering.CustomerCharge
+import org.hickorytiller.peering.DemandReport
+import org.hickorytiller.peering.LinkExchange
+import org.hickorytiller.peering.MemberRole
+import org.hickorytiller.peering.PeerIdentity
+import org.hickorytiller.peering.ClassDemand as PeerClassDemand
+
+/** Reports of this router and of its peers. Confined to the event loop. */
+internal class DemandExchange(
+    private val admission: Admission,
+    private val shares: PeerShares,
+    private val servers: BackendServerTable,
+) {
+    private var latest: DemandReport? = null
+
+    /** Makes a report every [REPORT_INTERVAL_MS]. Does not return. */
+    suspend fun run(): Nothing {
+        while (true) {
+            latest = admission.demand(servers.inFlight()).toMessage()
+            delay(REPORT_INTERVAL_MS)
+        }
+    }
+
+    /** Drops what has been idle for long, every [FORGET_INTERVAL_MS]. Does not return. */
+    suspend fun forgetIdle(): Nothing {
+        while (true) {
+            delay(FORGET_INTERVAL_MS)
+            admission.forgetIdle()
+        }
+    }
+
+    /** Opens the exchange on the link to [peer]. Controllers take no part in it. */
+    fun open(peer: PeerIdentity): LinkExchange {
+        if (peer.id.role != MemberRole.ROUTER) return LinkExchange()
+        var sentSequence = -1L
+        return LinkExchange(
+            fill = { draft ->
+                val report = latest
+                if (report != null && report.sequence != sentSequence) {
+                    draft.demand = report
+                    sentSequence = report.sequence
+                }
+            },
+            consume = { message -> message.demand?.let { apply(peer.process, it) } },
+        )
+    }
+
+    /** Gives the slots of [process], which is dead or was replaced, to the others. */
+    fun remove(process: ProcessId) {
+        admission.removePeer(process)
+        servers.replacePeersInFlight(shares.peersInFlight())
+    }
+
+    private fun apply(process: ProcessId, report: DemandReport) {
+        admission.applyPeerReport(process, report.toPeerReport())
+        servers.replacePeersInFlight(shares.peersInFlight())
+    }
+
+    private fun PeerReport.toMessage() = DemandReport(
+        sequence,
+        demand.map {
+            PeerClassDemand(it.pool, it.requestClass, it.tier, it.waiting, it.running, it.offeredSlots)
+        },
+        customers.map {
+            CustomerCharge(
+                it.pool,
+                it.requestClass,
+                it.customer,
+                it.chargedTokens,
+                it.running,
+                it.requestsPerMinute,
+            )
+        },
+        inFlight.map { BackendLoad(it.key, it.value) },
+    )
+
+    private fun DemandReport.toPeerReport() = PeerReport(
+        sequence,
+        classes.map { ClassDemand(it.pool, it.requestClass, it.tier, it.waiting, it.running, it.offeredSlots) },
+        customers.map {
+            CustomerReport(
+                it.pool,
+                it.requestClass,
+                it.customer,
+                it.chargedTokens,
+                it.running,
+                it.requestsPerMinute,
+            )
+        },
+        backends.associate { it.backendServer to it.inFlight },
+    )
+
+    private companion object {
+        const val REPORT_INTERVAL_MS = 500L
+        const val FORGET_INTERVAL_MS = 60_000L
+    }
+}
--- a/router/src/main/kotlin/org/hickorytiller/router/PeerTasks.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/PeerTasks.kt
@@ -19,6 +19,8 @@
 import org.hickorytiller.membership.PeerNode
 import org.hickorytiller.membership.answerAddresses
 import org.hickorytiller.peering.ConfigurationCopy
+import org.hickorytiller.peering.IntentAnswer
+import org.hickorytiller.peering.IntentQuery
 import org.hickorytiller.peering.MemberId
 import org.hickorytiller.peering.MemberRecord
 import org.hickorytiller.peering.MemberRole
@@ -28,6 +30,14 @@
 import org.hickorytiller.platform.HostListClient
 import org.hickorytiller.timeline.EventKind
 
+/**
+ * What membership needs of the other slices.
+ *
+ * @property loadPermille load of this router for address answers
+ * @property onProcessGone called when a process is dead or was replaced by a newer run
+ */
+internal class PeerHooks(val loadPermille: () -> Int, val onProcessGone: (ProcessId) -> Unit)
+
 /** The router's part in the exchange between peers. Confined to the event loop. */
 internal class PeerTasks(
     private val settings: RouterSettings,
@@ -37,7 +47,7 @@
     private val keys: KeyRegistry,
     private val configuration: ConfigurationTask,
     private val events: ProcessEvents,
-    loadPermille: () -> Int,
+    private val hooks: PeerHooks,
 ) {
     /** Membership and links; other slices connect to its exchange. */
     val node =
@@ -46,7 +56,7 @@
             loop.group,
             loop.scope,
             ::readContacts,
-            status = { OwnStatus(loadPermille(), configuration.state.offset) },
+            status = { OwnStatus(hooks.loadPermille(), configuration.state.offset) },
             onChange = ::memberChanged,
         )
 
@@ -83,6 +93,12 @@
         return null
     }
 
+    /** Asks the router on [host] what became of a request; null if it does not answer. */
+    suspend fun queryIntent(host: HostId, query: IntentQuery): IntentAnswer? {
+        val address = node.membership.table[MemberId(host, MemberRole.ROUTER)]?.peerAddress?.let(::parseAddress)
+        return address?.let { node.links.queryIntent(it, query).getOrNull() }
+    }
+
     private fun withdrawReceived(hash: KeyHash): Boolean {
         val isNew = keys.withdraw(hash)
         if (isNew) events.timeline.record(EventKind.KEY_WITHDRAWN, "$hash, from a peer")
@@ -110,6 +126,8 @@
     }
 
     private fun memberChanged(record: MemberRecord, previous: MemberRecord?) {
+        val isReplaced = previous != null && previous.process != record.process
+        if (isReplaced || record.state == MemberState.DEAD) hooks.onProcessGone((previous ?: record).process)
         if (record.state == previous?.state && record.incarnation == previous.incarnation) return
         events.timeline.record(KINDS.getValue(record.state), "${record.id} incarnation ${record.incarnation}")
         log.info { "member ${record.id} is ${record.state.name.lowercase()} in incarnation ${record.incarnation}" }
--- /dev/null
+++ b/router/src/main/kotlin/org/hickorytiller/router/QuarantineExchange.kt
@@ -0,0 +1,37 @@
+/** Passes quarantined requests between routers, so that a request that crashes servers is refused on all of them. */
+package org.hickorytiller.router
+
+import org.hickorytiller.core.Clock
+import org.hickorytiller.dispatch.CrashSuspects
+import org.hickorytiller.dispatch.Quarantine
+import org.hickorytiller.dispatch.RequestFingerprint
+import org.hickorytiller.peering.LinkExchange
+import org.hickorytiller.peering.QuarantineNews
+
+/** Quarantines of one router. Confined to the event loop. */
+internal class QuarantineExchange(private val suspects: CrashSuspects, private val clock: Clock) {
+    /** Opens the exchange on one link. Each quarantine is sent once, and not back to where it came from. */
+    fun open(): LinkExchange {
+        val known = HashSet<RequestFingerprint>()
+        return LinkExchange(
+            fill = { draft ->
+                val active = suspects.quarantines(clock())
+                known.retainAll(active.mapTo(HashSet()) { it.fingerprint })
+                active.filter { known.add(it.fingerprint) }.take(MAX_PER_MESSAGE).forEach {
+                    draft.quarantines += QuarantineNews(it.fingerprint.value, it.remainingMs)
+                }
+            },
+            consume = { message ->
+                message.quarantines.forEach {
+                    val fingerprint = RequestFingerprint(it.fingerprint)
+                    known += fingerprint
+                    suspects.adopt(Quarantine(fingerprint, it.remainingMs), clock())
+                }
+            },
+        )
+    }
+
+    private companion object {
+        const val MAX_PER_MESSAGE = 64
+    }
+}
--- a/router/src/main/kotlin/org/hickorytiller/router/Router.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/Router.kt
@@ -18,7 +18,6 @@
 import org.hickorytiller.core.Tier
 import org.hickorytiller.core.monotonicClock
 import org.hickorytiller.dispatch.Dispatcher
-import org.hickorytiller.dispatch.IntentAnswer
 import org.hickorytiller.dispatch.IntentLimits
 import org.hickorytiller.dispatch.IntentWriter
 import org.hickorytiller.http.EventLoop
@@ -29,6 +28,7 @@
 import org.hickorytiller.membership.Drain
 import org.hickorytiller.membership.DrainLimits
 import org.hickorytiller.peering.ConfigurationCopy
+import org.hickorytiller.peering.MemberRole
 import org.hickorytiller.peering.MemberState
 import org.hickorytiller.peering.PeerCalls
 import org.hickorytiller.platform.HostListClient
@@ -65,16 +65,22 @@
             limits = Limits { customer, requestClass -> limitsOf(customer, requestClass) },
             shares = shares,
         )
-    private val intents =
+    private val intents: IntentTask =
         IntentTask(
             IntentWriter(settings.host, process),
             settings.intentPartitions,
             IntentLog(logClient::append, logClient::read),
             monotonicClock,
-            queryPeer = { _, _, _ -> IntentAnswer.Unknown },
+            queryPeer = { host, customer, key -> queryIntent(peers::queryIntent, host, customer, key) },
             IntentLimits(windowMs = settings.idempotencyWindowMs),
         )
-    private val dispatcher = Dispatcher(client, monotonicClock, process)
+    private val dispatcher =
+        Dispatcher(client, monotonicClock, process) { work ->
+            metrics.wasted(work.kind.code, work.tokens.toLong())
+            if (work.kind.blamesServer || work.kind.isByRouter) metrics.retried(work.kind.code)
+        }
+    private val demand = DemandExchange(admission, shares, servers)
+    private val quarantines = QuarantineExchange(dispatcher.suspects, monotonicClock)
     private val usage = UsageCounter(settings.host.value, process.value, monotonicClock())
     private val usageTask = UsageTask(usage, monotonicClock, logClient::append)
     private val slices =
@@ -100,7 +106,7 @@
             keys,
             configuration,
             ProcessEvents(timeline, metrics),
-            ::loadPermille,
+            PeerHooks(::loadPermille) { demand.remove(it) },
         )
     private val drainTask =
         DrainTask(drain, monotonicClock, peers.node::announceLeaving, peers.node::announceEnd, timeline::record)
@@ -132,6 +138,7 @@
         registerGauges()
         loop.scope.launch { configuration.run() }
         loop.scope.launch { recordConfigurations(configuration, timeline::record) }
+        loop.scope.launch { appendWithdrawals(configuration, logClient::append, ::isFirstRouter) }
         loop.scope.launch { intents.run() }
         loop.scope.launch { usageTask.run() }
         loop.scope.launch {
@@ -151,13 +158,22 @@
         }
         loop.scope.launch { drainTask.run() }
         drainTask.onShutdown("usage flush") { usageTask.drain(USAGE_DRAIN_TIMEOUT_MS) }
-        peers.start(PeerCalls(answerConfiguration = ::answerConfiguration))
+        loop.scope.launch { demand.run() }
+        loop.scope.launch { demand.forgetIdle() }
+        peers.node.exchange.connect { peer, _ -> demand.open(peer) }
+        peers.node.exchange.connect { _, _ -> quarantines.open() }
+        peers.start(PeerCalls(answerConfiguration = ::answerConfiguration, answerIntent = { intents.answer(it) }))
         HttpServer.start(loop.group, loop.scope, settings.callerAddress, limits, frontEnd::serve)
         HttpServer.start(loop.group, loop.scope, settings.adminAddress, limits, admin::serve)
     }
 
     private fun BackendServerTable.slots(pool: PoolId) = available(pool).map { ServerSlots(it.id, it.slots) }
 
+    private fun isFirstRouter(): Boolean {
+        val routers = peers.node.live().filter { it.id.role == MemberRole.ROUTER }
+        return routers.minOfOrNull { it.id.host.value } == settings.host.value
+    }
+
     private fun answerConfiguration(known: LogOffset): ConfigurationCopy? =
         if (configuration.ready && configuration.state.offset > known) {
             ConfigurationCopy(configuration.state.offset, configuration.encodeForPeer())
