--- a/controller/src/main/kotlin/org/hickorytiller/controller/Controller.kt
+++ b/controller/src/main/kotlin/org/hickorytiller/controller/Controller.kt
@@ -3,10 +3,6 @@
 
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import org.hickorytiller.configuration.CONFIGURATION_SCHEMA
-import org.hickorytiller.configuration.CONFIGURATION_STREAM
-import org.hickorytiller.configuration.ConfigurationRecord
-import org.hickorytiller.configuration.ConfigurationState
 import org.hickorytiller.configuration.PoolKind
 import org.hickorytiller.core.Clock
 import org.hickorytiller.core.FailureDomain
@@ -29,18 +25,14 @@
 import org.hickorytiller.usage.USAGE_DUTY
 import java.util.UUID
 
-/** Writes a snapshot of the configuration to the log, if one is due. */
-internal typealias WriteSnapshot = suspend () -> Unit
-
 /** The duty of writing configuration snapshots. */
 internal val SNAPSHOT_DUTY = Duty("configuration-snapshots")
 
-/** A controller process. Without [writeSnapshot] it does not compete for the snapshot duty. */
+/** A controller process. */
 internal class Controller(
     private val settings: ControllerSettings,
     private val loop: EventLoop,
     private val clock: Clock = monotonicClock,
-    private val writeSnapshot: WriteSnapshot? = null,
 ) {
     private val client = HttpClient(loop.group, HttpLimits())
     private val log = LogClient(client, settings.platform.logAddress)
@@ -48,12 +40,8 @@
     private val orderClient = OrderClient(client, settings.platform.orderAddress, sender)
     private val engineClient = EngineOrderClient(sender)
     private val usageClient = UsageReportClient(sender, settings.platform.usageAddress)
-    private var configuration = ConfigurationState()
-    private val configurationFollower =
-        RecordFollower(
-            RecordFormat(CONFIGURATION_STREAM, ConfigurationRecord::class.java, CONFIGURATION_SCHEMA),
-            log::read,
-        ) { record, offset -> configuration = configuration.apply(record, offset) }
+    private val configuration =
+        ConfigurationFollower(log::append, log::read, clock, settings.platform.logRetentionMs)
     private val orderStream = OrderStream(log::read, clock)
     private val leases = LeaseTask(settings.host, settings.lease, clock, log::append, log::read)
     private val demand = DemandTask(log::read, clock)
@@ -77,7 +65,7 @@
     fun start() {
         val admin = AdminEndpoint(::status)
         HttpServer.start(loop.group, loop.scope, settings.adminAddress, HttpLimits(), admin::serve)
-        loop.scope.launch { configurationFollower.follow(LogOffset(0)) }
+        loop.scope.launch { configuration.follow() }
         loop.scope.launch { orderStream.follower.follow(LogOffset(0)) }
         loop.scope.launch { demand.run() }
         loop.scope.launch { leases.follow() }
@@ -85,9 +73,7 @@
             loop.scope.launch { leases.perform(orderDuty(domain)) { lease -> demand.during { task.run(lease) } } }
         }
         loop.scope.launch { leases.perform(USAGE_DUTY, usageTask::run) }
-        writeSnapshot?.let { write ->
-            loop.scope.launch { leases.perform(SNAPSHOT_DUTY) { writeSnapshots(it, write) } }
-        }
+        loop.scope.launch { leases.perform(SNAPSHOT_DUTY, ::writeSnapshots) }
     }
 
     /** Ends the duties and releases their leases. */
@@ -110,17 +96,17 @@
         { OrderId(UUID.randomUUID().toString()) },
     )
 
-    private suspend fun writeSnapshots(lease: LeaseView, write: WriteSnapshot) {
+    private suspend fun writeSnapshots(lease: LeaseView) {
         while (true) {
-            if (lease.holds(0)) write()
-            delay(settings.snapshotIntervalMs)
+            configuration.writeSnapshotIfDue { lease.holds(0) }
+            delay(settings.snapshotCheckMs)
         }
     }
 
     private fun wishes() = OrderWishes(policies(), demands(), settings.failureDomains)
 
-    private fun policies(): List<PoolPolicy> = configuration.document.budgets.values.map { budget ->
-        val pool = configuration.document.pools[budget.pool]
+    private fun policies(): List<PoolPolicy> = configuration.state.document.budgets.values.map { budget ->
+        val pool = configuration.state.document.pools[budget.pool]
         PoolPolicy(
             budget.pool,
             budget.maxCentsPerHour,
@@ -134,13 +120,13 @@
 
     private fun demands(): List<ClassDemand> = demand.busySlots().mapNotNull { (key, busySlots) ->
         val (classId, pool) = key
-        configuration.document.classes[classId]?.let { ClassDemand(classId, it.tier, pool, busySlots) }
+        configuration.state.document.classes[classId]?.let { ClassDemand(classId, it.tier, pool, busySlots) }
     }
 
     private fun status(): Map<String, Any?> = mapOf(
         "host" to settings.host.value,
         "failureDomain" to settings.failureDomain.value,
-        "configurationOffset" to configuration.offset.value,
+        "configurationOffset" to configuration.state.offset.value,
         "leases" to leases.heldLeases().map {
             mapOf(
                 "duty" to it.duty.value,
@@ -148,7 +134,7 @@
                 "remainingMs" to it.until - clock(),
             )
         },
-        "faults" to listOfNotNull(leases.fault, orderStream.follower.fault, configurationFollower.fault),
+        "faults" to listOfNotNull(leases.fault, orderStream.follower.fault, configuration.fault),
         "orders" to mapOf(
             "open" to orderStream.ledger.openIntents().map { it.intent },
             "last" to orderStream.ledger.lastSettled().takeLast(SHOWN_ORDERS).map {
--- a/controller/src/main/kotlin/org/hickorytiller/controller/ControllerSettings.kt
+++ b/controller/src/main/kotlin/org/hickorytiller/controller/ControllerSettings.kt
@@ -16,7 +16,7 @@
 /**
  * @property failureDomain where the host of this process is
  * @property failureDomains all failure domains in which backend servers are ordered
- * @property snapshotIntervalMs time between two configuration snapshots
+ * @property snapshotCheckMs time between two checks whether a configuration snapshot is due
  * @property stopTimeoutMs time for a planned stop
  */
 data class ControllerSettings(
@@ -28,7 +28,7 @@
     val lease: LeaseTiming,
     val planner: PlannerSettings,
     val usage: UsageTiming,
-    val snapshotIntervalMs: Long,
+    val snapshotCheckMs: Long,
     val stopTimeoutMs: Long,
 ) {
     companion object {
@@ -44,52 +44,41 @@
                 lease = lease,
                 planner = plannerSettings(it.table("orders")),
                 usage = usageTiming(it.table("usage")),
-                snapshotIntervalMs = it.long("snapshotIntervalMs", 1_000L..DAY_MS, default = HOUR_MS),
+                snapshotCheckMs = it.long("snapshotCheckMs", 100L..DAY_MS, default = 60_000),
                 stopTimeoutMs = it.long("stopTimeoutMs", 100L..HOUR_MS, default = 10_000),
             )
         }
 
         private const val HOUR_MS = 3_600_000L
         private const val DAY_MS = 86_400_000L
+        private const val RETENTION_LIMIT_MS = 366 * DAY_MS
 
         // A term has to leave room for two renewals, so that one lost answer does not end the lease.
         private fun leaseTiming(reader: SettingsReader): LeaseTiming {
             val termMs = reader.long("termMs", 1_000L..120_000L, default = 10_000)
+            val margins = termMs / LEAST_MARGIN..60_000L
+            val renewals = 100L..termMs / RENEWALS
             return LeaseTiming(
                 termMs,
-                driftMarginMs = reader.long(
-                    "driftMarginMs",
-                    termMs / LEAST_MARGIN..60_000L,
-                    default =
-                    termMs / TENTHS,
-                ),
-                renewIntervalMs = reader.long(
-                    "renewIntervalMs",
-                    100L..termMs / RENEWALS,
-                    default =
-                    termMs * RENEWALS / TENTHS,
-                ),
+                driftMarginMs = reader.long("driftMarginMs", margins, default = termMs / TENTHS),
+                renewIntervalMs = reader.long("renewIntervalMs", renewals, default = termMs * RENEWALS / TENTHS),
                 retryMs = reader.long("retryMs", 50L..termMs / RENEWALS, default = termMs / RETRIES),
             )
         }
 
-        // Right after a renewal the lease must last longer than the platform's limit, or nothing could be sent.
+        // Right after a renewal the lease must last longer than the platform's limit, or nothing could be sent. The
+        // limit is the platform's, so a short term must not make the default smaller: it is a fault then.
         private fun platformSettings(reader: SettingsReader, lease: LeaseTiming): PlatformSettings {
             val longestMs = lease.termMs - lease.renewIntervalMs
-            val incompleteMs =
-                reader.long("incompleteRequestTimeoutMs", 1..longestMs, default = minOf(INCOMPLETE_MS, longestMs / 2))
-            val marginMs =
-                reader.long(
-                    "writeMarginMs",
-                    1..longestMs - incompleteMs,
-                    default = minOf(WRITE_MARGIN_MS, longestMs / 2),
-                )
+            val incompleteMs = reader.long("incompleteRequestTimeoutMs", 1..longestMs, default = INCOMPLETE_MS)
+            val margins = 1..maxOf(1, longestMs - incompleteMs)
             return PlatformSettings(
                 logAddress = reader.address("logAddress"),
                 orderAddress = reader.address("orderAddress"),
                 usageAddress = reader.address("usageAddress"),
                 incompleteRequestTimeoutMs = incompleteMs,
-                writeMarginMs = marginMs,
+                writeMarginMs = reader.long("writeMarginMs", margins, default = WRITE_MARGIN_MS),
+                logRetentionMs = reader.long("logRetentionMs", 60_000L..RETENTION_LIMIT_MS, default = DAY_MS),
             )
         }
 
@@ -136,6 +125,7 @@
  *
  * @property incompleteRequestTimeoutMs time after which the platform closes a request whose body is not complete
  * @property writeMarginMs margin on that time for the network and the clocks
+ * @property logRetentionMs time for which the log keeps a record
  */
 data class PlatformSettings(
     val logAddress: InetSocketAddress,
@@ -143,6 +133,7 @@
     val usageAddress: InetSocketAddress,
     val incompleteRequestTimeoutMs: Long,
     val writeMarginMs: Long,
+    val logRetentionMs: Long,
 ) {
     /** Time that a lease must last when a body is written. */
     val requiredLeaseMs: Long get() = incompleteRequestTimeoutMs + writeMarginMs
--- a/core/src/main/kotlin/org/hickorytiller/core/SettingsReader.kt
+++ b/core/src/main/kotlin/org/hickorytiller/core/SettingsReader.kt
@@ -57,15 +57,15 @@
         return node.textValue()
     }
 
-    /** The integer called [name], which has to be in [range]. */
+    /** The integer called [name], which has to be in [range]; a [default] that is not has to be replaced. */
     fun long(name: String, range: LongRange, default: Long? = null): Long {
-        val node = take(name) ?: return default ?: missing(name, range.first)
-        if (!node.canConvertToLong() || !node.isIntegralNumber) return fault(name, "expected an integer", range.first)
-        val value = node.longValue()
-        if (value !in range) {
-            return fault(name, "expected a value from ${range.first} to ${range.last}, found $value", range.first)
-        }
-        return value
+        val node = take(name)
+        if (node == null && default == null) return missing(name, range.first)
+        if (node != null && !node.isIntegralNumber) return fault(name, "expected an integer", range.first)
+        val value = node?.longValue() ?: default ?: range.first
+        if (value in range) return value
+        val source = if (node == null) "the default is" else "found"
+        return fault(name, "expected a value from ${range.first} to ${range.last}, $source $value", range.first)
     }
 
     /** The integer called [name], which has to be in [range]. */
