Keep preempted work in the predicted load

Cause: taking preempted requests out of the predicted load admitted more work that was then preempted again.

Ruled out: keeping every aborted request in, which refused requests after a few quick failures although slots were free.

Conclusion: failures are settled at once, preempted requests stay counted.

--- a/admission/src/main/kotlin/org/hickorytiller/admission/AdmissionQueue.kt
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/AdmissionQueue.kt
@@ -165,7 +165,7 @@
             entry.queue.share.charge(entry.account, entry.tokens.toInt(), now)
         }
         entry.queue.end(entry, now, complete)
-        if (entry.predictedMs > 0) {
+        if (entry.predictedMs > 0 && !entry.preempted) {
             load.settle(entry.ticket.requestClass.tier, entry.predictedMs, now - (entry.startedAt ?: now), complete)
         }
     }
--- a/admission/src/main/kotlin/org/hickorytiller/admission/PredictedLoad.kt
+++ b/admission/src/main/kotlin/org/hickorytiller/admission/PredictedLoad.kt
@@ -64,9 +64,9 @@
     }
 
     /**
-     * Corrects what was assumed for a request of [tier] that left its slot after [ranMs]. Of an aborted one the work
+     * Corrects what was assumed for a request of [tier] that left its slot after [ranMs]. Of a failed one the work
      * that it did not do is taken out, since its retry is counted in anew; otherwise a few quick failures would refuse
-     * requests although slots are free.
+     * requests although slots are free. Preempted ones stay counted, or more would be started only to be preempted.
      */
     fun settle(tier: Tier, predictedMs: Double, ranMs: Long, complete: Boolean) {
         if (!complete) return remove(tier, predictedMs, part = maxOf(0.0, 1 - ranMs / predictedMs))
