Straighten code that the formatter had broken over lines

Ruled out: longer lines for the linter.

Change: the same logic in short statements; behaviour is unchanged.

--- a/balancing/src/main/kotlin/org/hickorytiller/balancing/BackendServerTable.kt
+++ b/balancing/src/main/kotlin/org/hickorytiller/balancing/BackendServerTable.kt
@@ -51,13 +51,8 @@
     fun replace(listed: List<BackendServer>) {
         val ids = listed.mapTo(HashSet()) { it.id }
         servers.values.removeIf { it.server.id !in ids && it.inFlight == 0 }
-        servers.values.forEach {
-            if (it.server.id !in
-                ids
-            ) {
-                it.server = it.server.copy(state = BackendServerState.LEAVING)
-            }
-        }
+        val gone = servers.values.filter { it.server.id !in ids }
+        gone.forEach { it.server = it.server.copy(state = BackendServerState.LEAVING) }
         listed.forEach { server ->
             val state = servers.getOrPut(server.id) { ServerState(server, rules) }
             if (state.server.slots != server.slots) state.limit.resize(server.slots)
@@ -80,10 +75,8 @@
         var free = 0
         val now = clock()
         for (state in states) {
-            if (evictions.takesNewWork(state.server, now)) {
-                free +=
-                    maxOf(0, state.cap - state.inFlight)
-            }
+            if (!evictions.takesNewWork(state.server, now)) continue
+            free += maxOf(0, state.cap - state.inFlight)
         }
         return free
     }
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/IntentRecorder.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/IntentRecorder.kt
@@ -233,9 +233,7 @@
         batchTimes.addLast(clock())
         launch {
             val result = appendsAtOnce.withPermit { append(encodeIntents(intents + results)) }
-            if (result ==
-                AppendResult.NOT_APPENDED
-            ) {
+            if (result == AppendResult.NOT_APPENDED) {
                 intents.forEach { waiters[it.id]?.answer?.complete(ReadBack.Failed) }
             }
             // Results are sent again after a lost answer: a repeated outcome or release changes nothing.
--- a/peering/src/main/kotlin/org/hickorytiller/peering/FieldChecks.kt
+++ b/peering/src/main/kotlin/org/hickorytiller/peering/FieldChecks.kt
@@ -27,12 +27,9 @@
 
 // A member raises its incarnation by one to contradict news of its death; one near the end of the range would leave no
 // room for that.
-internal fun Long.incarnation(field: String): Long = if (this in
-    1..MAX_INCARNATION
-) {
-    this
-} else {
-    throw FieldException(field)
+internal fun Long.incarnation(field: String): Long {
+    if (this !in 1..MAX_INCARNATION) throw FieldException(field)
+    return this
 }
 
 internal fun Int.count(field: String): Int = if (this >= 0) this else throw FieldException(field)
--- a/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
@@ -65,12 +65,9 @@
         }
         val result = if (request.isIdempotent) runRepeatable(request, answer) else runOnce(request, answer)
         val completed = result.getOrElse { refused ->
-            return if (refused is Ended.Before) {
-                answer.repeat(
-                    refused.outcome,
-                )
-            } else {
-                answer.fail((refused as Ended.Failed).error)
+            return when (refused) {
+                is Ended.Before -> answer.repeat(refused.outcome)
+                is Ended.Failed -> answer.fail(refused.error)
             }
         }
         answer.verdict = Verdict.RAN
