Use the configuration's list of withdrawals that the log lacks

Cause: the peer exchange computed the withdrawals that are not on the log a second time, beside withdrawalsNotOnLog.

Ruled out: dropping the cached set in PeerTasks; it is asked for with every message.

Change: PeerTasks calls ConfigurationTask.withdrawalsNotOnLog.

Conclusion: one piece of code decides which withdrawals are missing on the log.

--- a/router/src/main/kotlin/org/hickorytiller/router/PeerTasks.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/PeerTasks.kt
@@ -109,8 +109,7 @@
     private fun pendingWithdrawals(): Collection<KeyHash> {
         val current = keys.withdrawnHashes().size to configuration.state.offset
         if (current != pendingFor) {
-            val unpublished = keys.withdrawnHashes() - configuration.state.withdrawn
-            pending = unpublished.filterTo(LinkedHashSet()) { it.isExchangeable }
+            pending = configuration.withdrawalsNotOnLog.filterTo(LinkedHashSet()) { it.isExchangeable }
             pendingFor = current
         }
         return pending
