--- a/core/src/main/kotlin/org/hickorytiller/core/BackendServer.kt
+++ b/core/src/main/kotlin/org/hickorytiller/core/BackendServer.kt
@@ -18,6 +18,8 @@
 /**
  * @property slots number of requests that the server works on at once
  * @property reclaimable whether the platform may take the server back on a few seconds' notice
+ * @property startedMs when this run of the server began, in milliseconds since 1970; a server that starts again under
+ *   its old id has forgotten everything. 0 if the platform does not tell.
  */
 data class BackendServer(
     val id: BackendServerId,
@@ -27,4 +29,5 @@
     val state: BackendServerState,
     val slots: Int,
     val reclaimable: Boolean,
+    val startedMs: Long = 0,
 )
--- a/core/src/main/kotlin/org/hickorytiller/core/Json.kt
+++ b/core/src/main/kotlin/org/hickorytiller/core/Json.kt
@@ -1,13 +1,12 @@
 /**
- * The JSON and TOML mappers that every encoder uses. Records from the log are read leniently (a newer writer may add
- * fields), settings and configuration strictly (an unknown name is an error).
+ * The JSON mapper of encoders that bind classes. Records from the log are read leniently: a newer writer may add
+ * fields.
  */
 package org.hickorytiller.core
 
 import com.fasterxml.jackson.databind.DeserializationFeature
 import com.fasterxml.jackson.databind.ObjectMapper
 import com.fasterxml.jackson.databind.SerializationFeature
-import com.fasterxml.jackson.dataformat.toml.TomlMapper
 import com.fasterxml.jackson.module.kotlin.registerKotlinModule
 
 /** Mapper for log records and HTTP bodies. Thread-safe. Unknown properties are ignored. */
@@ -16,6 +15,3 @@
         .registerKotlinModule()
         .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
         .enable(SerializationFeature.ORDER_MAP_ENTRIES_BY_KEYS)
-
-/** Mapper for TOML documents. Thread-safe. */
-val toml: TomlMapper = TomlMapper.builder().build()
--- a/core/src/main/kotlin/org/hickorytiller/core/SettingsReader.kt
+++ b/core/src/main/kotlin/org/hickorytiller/core/SettingsReader.kt
@@ -121,7 +121,7 @@
     /** The table called [name]; an empty one if it is missing, so that its own required values are reported. */
     fun table(name: String): SettingsReader {
         val node = take(name)
-        val child = node as? ObjectNode ?: json.createObjectNode()
+        val child = node as? ObjectNode ?: jsonTree.createObjectNode()
         if (node != null && node !is ObjectNode) fault(name, "expected a table", Unit)
         return SettingsReader(child, qualified(name), faults).also { children += it }
     }
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/CallerTask.kt
@@ -0,0 +1,210 @@
+/** Serves one caller connection: receives a request, resolves it, relays it, and answers. */
+package org.hickorytiller.daemon
+
+import arrow.core.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.launch
+import org.hickorytiller.core.Clock
+import org.hickorytiller.core.Verdict
+import org.hickorytiller.http.Headers
+import org.hickorytiller.http.HttpFault
+import org.hickorytiller.http.HttpStatus
+import org.hickorytiller.http.RequestHead
+import org.hickorytiller.http.ResponseHead
+import org.hickorytiller.http.ServerConnection
+import org.hickorytiller.http.errorBody
+import org.hickorytiller.platform.CallerFields
+import org.hickorytiller.platform.decodeCaller
+import org.hickorytiller.relay.AnswerSink
+import org.hickorytiller.relay.ForwardedCall
+import org.hickorytiller.relay.OutcomeReason
+import org.hickorytiller.relay.Relay
+import org.hickorytiller.relay.RelayOutcome
+import org.hickorytiller.relay.RelayRequest
+import org.hickorytiller.relay.RequestId
+import org.hickorytiller.routes.Resolution
+import org.hickorytiller.routes.choosePool
+import java.util.Locale
+
+/** Whether the daemon is being stopped, so that callers are told to go elsewhere. */
+internal typealias IsStopping = () -> Boolean
+
+/** Serves callers. Confined to the event loop. */
+internal class CallerTask(
+    private val clock: Clock,
+    private val configuration: ConfigurationView,
+    private val relay: Relay,
+    private val metrics: DaemonMetrics,
+    private val inFlight: InFlight,
+    private val isStopping: IsStopping,
+) {
+    /** Serves [connection] until it ends. */
+    suspend fun serve(connection: ServerConnection) {
+        while (true) {
+            val head = connection.receive().getOrElse { return refuse(connection, it) }
+            val call = inFlight.track(connection) { serveRequest(connection, head) }
+            if (!call || connection.closeAfterResponse) return
+        }
+    }
+
+    /** Serves one request. Returns whether the connection can be used for another one. */
+    private suspend fun serveRequest(connection: ServerConnection, head: RequestHead): Boolean {
+        val receivedAt = clock()
+        val fields = decodeCaller(head)
+        val body = connection.receiveBody().getOrElse {
+            refuse(connection, it)
+            return false
+        }
+        if (isStopping()) connection.closeAfterResponse = true
+        val isFresh = configuration.isFresh()
+        val table = configuration.table
+        val resolution = table?.resolve(fields.host, head.path, fields.key)
+        val isKeyed = resolution !is Resolution.Allowed || resolution.customer != null
+        if (resolution == null || (isKeyed && !isFresh)) {
+            return reject(connection, fields, Rejection.CONFIGURATION_UNPROVEN)
+        }
+        return when (resolution) {
+            is Resolution.NoRoute -> reject(connection, fields, Rejection.NO_ROUTE)
+            is Resolution.UnknownKey -> reject(connection, fields, Rejection.UNKNOWN_KEY)
+            is Resolution.Allowed -> {
+                val pool = choosePool(resolution.route, draw(fields.id))
+                    ?: return reject(connection, fields, Rejection.NO_POOL)
+                val waitMs = minOf(fields.waitMs ?: resolution.route.timeoutMs, resolution.route.timeoutMs)
+                val request =
+                    RelayRequest(
+                        id = fields.id ?: RequestId(""),
+                        route = resolution.route,
+                        pool = pool,
+                        customer = resolution.customer?.id,
+                        priority = resolution.customer?.priority ?: resolution.route.priority,
+                        call = ForwardedCall(RequestHead(head.method, head.target, fields.passedOn), body),
+                        prompt = fields.prompt,
+                        resumeAfter = fields.resumeAfter,
+                        receivedAt = receivedAt,
+                        deadline = receivedAt + waitMs,
+                    )
+                relayUnlessLeft(connection, request)
+            }
+        }
+    }
+
+    /** The caller's leaving cancels the relay, which closes the connection to the backend server. */
+    private suspend fun relayUnlessLeft(connection: ServerConnection, request: RelayRequest): Boolean = coroutineScope {
+        val work = async { answer(connection, request) }
+        val watch = launch {
+            connection.closed.await()
+            work.cancel(CancellationException("the caller has closed the connection"))
+        }
+        try {
+            work.await()
+        } catch (_: CancellationException) {
+            logEnd(request, RelayOutcome(OutcomeReason.CALLER_GONE, Verdict.MAY_HAVE_RUN, false, 0, null, null), 0)
+            false
+        } finally {
+            watch.cancel()
+        }
+    }
+
+    private suspend fun answer(connection: ServerConnection, request: RelayRequest): Boolean {
+        val outcome = relay.run(request, sinkOf(connection))
+        val status = statusOf(outcome)
+        logEnd(request, outcome, status)
+        if (status == 0) {
+            // A part of the answer is out: only the end of the connection says that it is not whole.
+            if (outcome.reason == OutcomeReason.STREAM_BROKEN) connection.abort()
+            return outcome.reason == OutcomeReason.ANSWERED || outcome.reason == OutcomeReason.SERVER_ERROR
+        }
+        return respondError(connection, status, outcome.reason.code, outcome.verdict)
+    }
+
+    private fun sinkOf(connection: ServerConnection) = AnswerSink(
+        whole = { head, body -> connection.respond(head.status, head.headers, body) },
+        begin = { head: ResponseHead -> connection.startResponse(head.status, head.headers) },
+        events = connection::writeChunk,
+        end = connection::endResponse,
+    )
+
+    /** Status of the answer that says how the request ended; 0 if its answer has begun or nobody waits for one. */
+    private fun statusOf(outcome: RelayOutcome): Int = when {
+        outcome.hasBegun || outcome.reason == OutcomeReason.CALLER_GONE -> 0
+        outcome.reason == OutcomeReason.ANSWERED -> 0
+        outcome.verdict == Verdict.NOT_RUN -> HttpStatus.SERVICE_UNAVAILABLE
+        outcome.reason == OutcomeReason.DEADLINE -> HttpStatus.GATEWAY_TIMEOUT
+        else -> HttpStatus.BAD_GATEWAY
+    }
+
+    private suspend fun reject(connection: ServerConnection, fields: CallerFields, rejection: Rejection): Boolean {
+        metrics.rejected(rejection.code)
+        log.info {
+            "event=rejected id=${fields.id} reason=${rejection.code} status=${rejection.status} host=${fields.host} " +
+                "configuration=${configuration.table?.configuration?.version} ageMs=${configuration.ageMs}"
+        }
+        return respondError(connection, rejection.status, rejection.code, Verdict.NOT_RUN)
+    }
+
+    private suspend fun respondError(
+        connection: ServerConnection,
+        status: Int,
+        code: String,
+        verdict: Verdict,
+    ): Boolean {
+        val headers = mutableListOf(Headers.Field("content-type", "application/json"))
+        if (status == HttpStatus.SERVICE_UNAVAILABLE) headers += Headers.Field("Retry-After", RETRY_AFTER_S)
+        return connection.respond(status, Headers(headers), errorBody(code, code.replace('_', ' '), verdict))
+    }
+
+    private suspend fun refuse(connection: ServerConnection, fault: HttpFault) {
+        val status =
+            when (fault) {
+                HttpFault.CLOSED, HttpFault.UNREACHABLE -> return
+                HttpFault.TIMEOUT -> if (connection.isReceiving) HttpStatus.REQUEST_TIMEOUT else return
+                HttpFault.HEAD_TOO_LARGE -> HttpStatus.HEADER_FIELDS_TOO_LARGE
+                HttpFault.BODY_TOO_LARGE -> HttpStatus.CONTENT_TOO_LARGE
+                HttpFault.UNKNOWN_EXPECTATION -> HttpStatus.EXPECTATION_FAILED
+                HttpFault.MALFORMED -> HttpStatus.BAD_REQUEST
+            }
+        connection.closeAfterResponse = true
+        metrics.rejected(fault.name.lowercase())
+        log.info { "event=rejected reason=${fault.name.lowercase()} status=$status from=${connection.remoteAddress}" }
+        respondError(connection, status, fault.name.lowercase(), Verdict.NOT_RUN)
+    }
+
+    private fun logEnd(request: RelayRequest, outcome: RelayOutcome, status: Int) {
+        val tookMs = clock() - request.receivedAt
+        metrics.ended(request.route.id.value, outcome.reason.code, tookMs, outcome.firstByteMs)
+        log.info {
+            "event=request id=${request.id} route=${request.route.id} pool=${request.pool} " +
+                "customer=${request.customer} outcome=${outcome.reason.code} verdict=${outcome.verdict.code} " +
+                "status=$status server=${outcome.server} sends=${outcome.sends} firstByteMs=${outcome.firstByteMs} " +
+                "tookMs=$tookMs configuration=${configuration.table?.configuration?.version} " +
+                "ageMs=${configuration.ageMs}"
+        }
+    }
+
+    // The same for every attempt at one request, so that it stays in one pool.
+    private fun draw(id: RequestId?): Double =
+        Math.floorMod((id?.value?.hashCode() ?: 0) * HASH_FACTOR, DRAWS).toDouble() / DRAWS
+
+    /** Why a request is refused before it is relayed. */
+    private enum class Rejection(val status: Int) {
+        CONFIGURATION_UNPROVEN(HttpStatus.SERVICE_UNAVAILABLE),
+        NO_POOL(HttpStatus.SERVICE_UNAVAILABLE),
+        NO_ROUTE(HttpStatus.NOT_FOUND),
+        UNKNOWN_KEY(HttpStatus.UNAUTHORIZED),
+        ;
+
+        val code: String get() = name.lowercase(Locale.ROOT)
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+
+        // Long enough for another host or a server to take the request, short against the callers' deadlines.
+        const val RETRY_AFTER_S = "0.2"
+        const val DRAWS = 10_007
+        const val HASH_FACTOR = 31
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -0,0 +1,197 @@
+/** Wires the slices of the daemon and starts its tasks. All of them run on one event loop. */
+package org.hickorytiller.daemon
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.launch
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.core.monotonicClock
+import org.hickorytiller.core.wallTimeMs
+import org.hickorytiller.http.EventLoop
+import org.hickorytiller.http.HttpClient
+import org.hickorytiller.http.HttpLimits
+import org.hickorytiller.http.HttpServer
+import org.hickorytiller.leases.ClaimId
+import org.hickorytiller.leases.ConditionalLease
+import org.hickorytiller.leases.LeaseRules
+import org.hickorytiller.mesh.HostStatus
+import org.hickorytiller.mesh.Mesh
+import org.hickorytiller.mesh.PeerTable
+import org.hickorytiller.metering.UsageCounters
+import org.hickorytiller.metering.WindowReports
+import org.hickorytiller.placement.Placement
+import org.hickorytiller.platform.DIRECTORY_PATH
+import org.hickorytiller.platform.DutyClient
+import org.hickorytiller.platform.HostRegistry
+import org.hickorytiller.platform.LeaseStore
+import org.hickorytiller.platform.READINESS_PATH
+import org.hickorytiller.platform.ServerExchange
+import org.hickorytiller.platform.StoreClient
+import org.hickorytiller.platform.encodeDirectory
+import org.hickorytiller.relay.Relay
+import org.hickorytiller.relay.RelayEvents
+import org.hickorytiller.relay.RetryAllowance
+import org.hickorytiller.relay.RetryRules
+import org.hickorytiller.routes.FreshnessProof
+import org.hickorytiller.routes.FreshnessRules
+import java.net.InetSocketAddress
+import java.util.UUID
+
+/** A daemon process. */
+internal class Daemon(private val settings: DaemonSettings, private val loop: EventLoop) {
+    private val bounds = settings.bounds
+    private val process = ProcessId(UUID.randomUUID().toString().take(RUN_ID_CHARS))
+    private val clock = monotonicClock
+    private val store = StoreClient(HttpClient(loop.group, STORE_LIMITS), settings.store)
+    private val registry = HostRegistry(store)
+    private val storeHealth = DependencyHealth("store", clock)
+    private val proof =
+        FreshnessProof(clock, ::wallTimeMs, FreshnessRules(bounds.keyWithdrawalMs - KEY_WITHDRAWAL_MARGIN_MS))
+    private val configuration = ConfigurationView(store, proof, loop.scope, storeHealth)
+    private val placement = Placement(clock)
+    private val servers = ServerView(store, clock, proof::now, loop.scope, placement, storeHealth)
+    private val peers = PeerTable(clock, settings.host)
+    private val counters = UsageCounters(process, bounds.usageWindowMs)
+    private val metrics = DaemonMetrics()
+    private val inFlight = InFlight()
+    private val relay: Relay =
+        Relay(
+            clock,
+            settings.failureDomain,
+            placement,
+            ServerExchange(HttpClient(loop.group, SERVER_LIMITS))::open,
+            RetryAllowance(clock, retryRules()),
+            RelayEvents(
+                onRun = { request -> request.customer?.let { counters.add(it, trueWallMs()) } },
+                onAttemptFailed = { request, server, failure ->
+                    metrics.attemptFailed(failure.code)
+                    log.info { "event=attempt_failed id=${request.id} server=$server reason=${failure.code}" }
+                },
+            ),
+        )
+    private val claim = ClaimId(process.value)
+    private val lease =
+        ConditionalLease(claim, clock, ::wallTimeMs, LeaseRules(termMs = bounds.leaseTermMs))
+    private val dutyTask: DutyTask? = settings.duties?.let(::dutyTask)
+    private val status: OwnStatus =
+        OwnStatus(
+            settings,
+            process,
+            placement,
+            counters,
+            peers,
+            OwnBeliefs(::takesCallers, { dutyTask?.isHolder ?: false }, ::trueWallMs),
+        )
+    private val mesh: Mesh = Mesh(loop.group, settings.listen.mesh, peers, status::build, ::received)
+    private val stopTask: StopTask =
+        StopTask(
+            clock,
+            StopRules(acceptMs = STOP_ACCEPT_MS, limitMs = bounds.graceMs - STOP_MARGIN_MS),
+            inFlight,
+            leaveDirectory = mesh::announce,
+            stopAccepting = { callerServer?.close() },
+        )
+    private val callers =
+        CallerTask(clock, configuration, relay, metrics, inFlight) { stopTask.isStopping }
+    private var callerServer: HttpServer? = null
+
+    /** Completes when a planned stop has ended. */
+    val ended: Deferred<Unit> get() = stopTask.ended
+
+    /** Starts listening and following the platform. */
+    fun start() {
+        mesh.listen()
+        val scope = loop.scope
+        val listen = settings.listen
+        callerServer = HttpServer.start(loop.group, scope, listen.callers, CALLER_LIMITS, callers::serve)
+        serve(listen.readiness, readiness(READINESS_PATH, ::takesCallers))
+        serve(listen.directory, resource(DIRECTORY_PATH, "application/json", ::directoryAnswer))
+        serve(listen.metrics, resource("/metrics", DaemonMetrics.CONTENT_TYPE, metrics::text))
+        scope.launch { configuration.run() }
+        scope.launch { servers.run() }
+        scope.launch { findPeers() }
+        scope.launch { mesh.run() }
+        dutyTask?.let { scope.launch { it.run() } }
+        metrics.gauge("hickory_in_flight", "Requests in flight") { inFlight.count.toDouble() }
+        metrics.gauge("hickory_peers", "Hosts that are alive beside this one") { peers.alive().size.toDouble() }
+        log.info { "event=started host=${settings.host} run=$process domain=${settings.failureDomain}" }
+    }
+
+    /** Begins a planned stop. May be called from any thread. */
+    fun beginStop() {
+        loop.scope.launch { stopTask.stop() }
+    }
+
+    private fun serve(address: InetSocketAddress, respond: Respond) {
+        HttpServer.start(loop.group, loop.scope, address, SERVER_LIMITS) { serveEndpoint(it, respond) }
+    }
+
+    private fun dutyTask(address: InetSocketAddress): DutyTask {
+        val client = DutyClient(HttpClient(loop.group, STORE_LIMITS), address, settings.host)
+        val fleet =
+            FleetTask(clock, { configuration.table?.configuration?.pools.orEmpty() }, placement, client)
+        val duties = DutyTask.Duties(WindowReports(counters), client, fleet::placeOrders)
+        return DutyTask(settings.host, claim, clock, ::trueWallMs, LeaseStore(store), lease, peers, duties)
+    }
+
+    private suspend fun findPeers() {
+        settings.contacts.forEach { peers.learn(InetSocketAddress(it.address, settings.listen.mesh.port)) }
+        mesh.announce()
+        registry.register(settings.host, settings.listen.mesh)
+            .onLeft { log.warn { "event=registration_failed reason=${it.name.lowercase()}" } }
+        registry.addresses().fold(
+            { log.warn { "event=registry_unavailable reason=${it.name.lowercase()}" } },
+            { addresses -> addresses.forEach(peers::learn) },
+        )
+        mesh.announce()
+    }
+
+    private fun received(status: HostStatus, isNew: Boolean) {
+        if (isNew) log.info { "event=peer host=${status.host} run=${status.run} callers=${status.callerAddress}" }
+        counters.take(status.run, status.usage)
+        placement.replacePeerLoad(peers.load())
+        placement.learnParts(status.parts)
+    }
+
+    private fun takesCallers() = !stopTask.isStopping && configuration.table != null
+
+    private fun directoryAnswer(): ByteArray {
+        val others = peers.alive().filter { it.takesCallers }.map { it.callerAddress }
+        val own = listOf(settings.listen.callers).filter { takesCallers() }
+        // An address of a host that may be gone is better than none.
+        val addresses = (own + others).ifEmpty { listOf(settings.listen.callers) }
+        return encodeDirectory(addresses, minOf(DIRECTORY_LIFETIME_MS, bounds.directoryLifetimeMs) / MS_PER_S)
+    }
+
+    private fun trueWallMs() = peers.medianWallMs(wallTimeMs())
+
+    // Each host keeps to its part of the common bound; with fewer hosts than assumed the bound is not used up.
+    private fun retryRules() = RetryRules(
+        ratio = bounds.retryRatioPercent * RETRY_PART / PERCENT,
+        slack = bounds.retrySlack / ASSUMED_HOSTS,
+        windowMs = bounds.retryWindowMs,
+    )
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val RUN_ID_CHARS = 8
+
+        // Covers clocks that run unevenly and the time from the check to the send.
+        const val KEY_WITHDRAWAL_MARGIN_MS = 600L
+
+        // Callers use an answer of the directory for up to three times its lifetime.
+        const val DIRECTORY_LIFETIME_MS = 1_000L
+        const val STOP_ACCEPT_MS = 3_300L
+        const val STOP_MARGIN_MS = 700L
+        const val MS_PER_S = 1000.0
+
+        // Leaves a quarter for requests that are counted in another window by the platform.
+        const val RETRY_PART = 0.75
+        const val PERCENT = 100.0
+        const val ASSUMED_HOSTS = 16
+
+        val CALLER_LIMITS = HttpLimits(idleTimeoutMs = 300_000, headTimeoutMs = 3_000)
+        val STORE_LIMITS = HttpLimits(connectTimeoutMs = 500)
+        val SERVER_LIMITS = HttpLimits(connectTimeoutMs = 400)
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/DutyTask.kt
@@ -0,0 +1,134 @@
+/**
+ * Competes for the lease of the duties and performs them while this host holds it: usage reports and the size of the
+ * pools. Everything is checked again right before each call, and the receiver refuses calls with an older token.
+ */
+package org.hickorytiller.daemon
+
+import arrow.core.getOrElse
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.delay
+import org.hickorytiller.core.Clock
+import org.hickorytiller.core.Delivery
+import org.hickorytiller.core.HostId
+import org.hickorytiller.leases.ClaimId
+import org.hickorytiller.leases.ConditionalLease
+import org.hickorytiller.mesh.PeerTable
+import org.hickorytiller.metering.WindowReports
+import org.hickorytiller.platform.DutyClient
+import org.hickorytiller.platform.LeaseRecord
+import org.hickorytiller.platform.LeaseStore
+import org.hickorytiller.platform.StoreFailure
+
+/** Sends the orders that are due under a fencing token. */
+internal typealias PlaceOrders = suspend (Long) -> Unit
+
+/** The duties of one host. Confined to the event loop. */
+internal class DutyTask(
+    private val host: HostId,
+    private val claim: ClaimId,
+    private val clock: Clock,
+    private val trueWallMs: () -> Long,
+    private val store: LeaseStore,
+    private val lease: ConditionalLease,
+    private val peers: PeerTable,
+    private val duties: Duties,
+) {
+    /** What the holder does. */
+    class Duties(val reports: WindowReports, val client: DutyClient, val placeOrders: PlaceOrders)
+
+    private var wasHolder = false
+
+    /** Whether this host performs the duties now. */
+    val isHolder: Boolean get() = lease.holds()
+
+    /** Competes and performs; does not return. */
+    suspend fun run(): Nothing {
+        while (true) {
+            step()
+            noteChange()
+            delay(STEP_MS)
+        }
+    }
+
+    private suspend fun step() {
+        if (lease.token == null) {
+            if (!isCandidate()) return
+            compete()
+        } else {
+            if (lease.isRenewalDue() || duties.reports.hasUnfixed(trueWallMs())) append()
+            if (lease.holds()) perform()
+        }
+    }
+
+    /** While a peer says that it holds the duties, the others leave the store alone. */
+    private fun isCandidate(): Boolean {
+        val alive = peers.alive()
+        if (alive.any { it.holdsDuties }) return false
+        return alive.count { it.host.value < host.value } < CANDIDATES
+    }
+
+    private suspend fun compete() {
+        val view = store.read().getOrElse { return }
+        view.record?.let { duties.reports.recorded(it.figures) }
+        lease.seen(view.end, view.record?.claim)
+        append()
+        if (lease.token == null) delay(COMPETE_MS)
+    }
+
+    private suspend fun append() {
+        val at = lease.claimAt() ?: return
+        val figures = duties.reports.toRecord(trueWallMs())
+        val sentAt = clock()
+        val sentAtWallMs = System.currentTimeMillis()
+        store.append(LeaseRecord(claim, host, figures), at).fold(
+            { failure -> appendFailed(failure) },
+            { offset ->
+                lease.appended(offset, sentAt, sentAtWallMs)
+                duties.reports.recorded(figures)
+            },
+        )
+    }
+
+    private suspend fun appendFailed(failure: StoreFailure) {
+        log.info { "event=lease_append_failed reason=${failure.name.lowercase()} token=${lease.token}" }
+        when (failure) {
+            StoreFailure.UNAVAILABLE -> delay(COMPETE_MS)
+            // The append may have been carried out: the newest record tells.
+            else -> {
+                if (failure == StoreFailure.OVERTAKEN) lease.overtaken()
+                val view = store.read().getOrElse { return }
+                view.record?.let { duties.reports.recorded(it.figures) }
+                lease.seen(view.end, view.record?.claim)
+            }
+        }
+    }
+
+    private suspend fun perform() {
+        val token = lease.token ?: return
+        for ((window, counts) in duties.reports.toSend(trueWallMs())) {
+            if (!lease.holds()) return
+            val delivery = duties.client.reportUsage(window, counts, token)
+            log.info {
+                "event=usage_report window=$window requests=${counts.values.sum()} token=$token outcome=$delivery"
+            }
+            if (delivery == Delivery.Taken) duties.reports.acknowledged(window) else return
+        }
+        if (lease.holds()) duties.placeOrders(token)
+    }
+
+    private fun noteChange() {
+        val holds = lease.holds()
+        if (holds == wasHolder) return
+        wasHolder = holds
+        log.info { "event=${if (holds) "duties_taken" else "duties_lost"} token=${lease.token}" }
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val STEP_MS = 250L
+        const val COMPETE_MS = 700L
+
+        // Two hosts at a time compete, so that the loss of one does not delay the duties.
+        const val CANDIDATES = 2
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/FleetTask.kt
@@ -0,0 +1,79 @@
+/** Orders backend servers while this host holds the duties. */
+package org.hickorytiller.daemon
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import org.hickorytiller.core.BackendServerState
+import org.hickorytiller.core.Clock
+import org.hickorytiller.core.Delivery
+import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.TimeMs
+import org.hickorytiller.http.HttpStatus
+import org.hickorytiller.placement.Placement
+import org.hickorytiller.platform.DutyClient
+import org.hickorytiller.routes.PoolSpec
+import org.hickorytiller.scaling.FleetOrder
+import org.hickorytiller.scaling.FleetPart
+import org.hickorytiller.scaling.FleetPlanner
+import org.hickorytiller.scaling.FleetView
+import org.hickorytiller.scaling.OrderBook
+
+/** Plans and orders all pools of changing size. Confined to the event loop. */
+internal class FleetTask(
+    private val clock: Clock,
+    private val pools: () -> List<PoolSpec>,
+    private val placement: Placement,
+    private val client: DutyClient,
+) {
+    private val planners = HashMap<PoolId, FleetPlanner>()
+    private val book = OrderBook(clock)
+    private var lastToken = 0L
+    private var lastPlan = TimeMs(Long.MIN_VALUE / 2)
+
+    /** Sends the orders that are due under [token]. */
+    suspend fun placeOrders(token: Long) {
+        if (token != lastToken) book.clear()
+        lastToken = token
+        if (clock() - lastPlan < PLAN_INTERVAL_MS) return
+        lastPlan = clock()
+        for (pool in pools().filter { it.scaling != null }) placeOrders(pool, token)
+    }
+
+    private suspend fun placeOrders(pool: PoolSpec, token: Long) {
+        val planner = planners.getOrPut(pool.id) { FleetPlanner(clock) }
+        val servers = placement.servers(pool.id)
+        val inFlight = placement.inFlight(pool.id)
+        val wanted = planner.plan(FleetView(pool, servers, inFlight))
+        for (order in book.toSend(wanted) { count(it) }) {
+            val delivery = client.placeOrder(order, token)
+            log.info {
+                "event=fleet_order pool=${pool.id} domain=${order.part.domain} " +
+                    "reclaimable=${order.part.isReclaimable} count=${order.count} present=${count(
+                        order.part,
+                    )} inFlight=$inFlight token=$token outcome=$delivery"
+            }
+            settle(order, delivery, planner)
+        }
+    }
+
+    private fun settle(order: FleetOrder, delivery: Delivery, planner: FleetPlanner) {
+        when (delivery) {
+            Delivery.Taken -> book.taken(order)
+            is Delivery.Refused ->
+                if (delivery.status == HttpStatus.CONFLICT && order.part.isReclaimable) {
+                    planner.refused(order.part.domain)
+                }
+            else -> Unit
+        }
+    }
+
+    private fun count(part: FleetPart) = placement.servers(part.pool).count {
+        it.failureDomain == part.domain &&
+            it.reclaimable == part.isReclaimable &&
+            it.state == BackendServerState.RUNNING
+    }
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+        const val PLAN_INTERVAL_MS = 500L
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/LineLog.kt
@@ -0,0 +1,62 @@
+/**
+ * Writes log lines to standard output from a thread of its own. The event loop never waits for the output: lines that
+ * do not fit into the queue are dropped and counted.
+ */
+package org.hickorytiller.daemon
+
+import io.github.oshai.kotlinlogging.Appender
+import io.github.oshai.kotlinlogging.DirectLoggerFactory
+import io.github.oshai.kotlinlogging.KLoggingEvent
+import io.github.oshai.kotlinlogging.KotlinLoggingConfiguration
+import io.github.oshai.kotlinlogging.Level
+import java.io.OutputStream
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.atomic.AtomicLong
+
+/** Appends `key=value` lines to [out], at most [capacity] of them waiting. */
+internal class LineLog(private val out: OutputStream, capacity: Int = CAPACITY) : Appender {
+    private val lines = ArrayBlockingQueue<String>(capacity)
+    private val dropped = AtomicLong()
+
+    /** Number of lines that were dropped so far. */
+    val droppedLines: Long get() = dropped.get()
+
+    override fun log(loggingEvent: KLoggingEvent) {
+        val level = loggingEvent.level.name.lowercase()
+        val line = "wallMs=${loggingEvent.timestamp} level=$level ${loggingEvent.message}\n"
+        if (!lines.offer(line)) dropped.incrementAndGet()
+    }
+
+    /** Writes until the thread is interrupted. */
+    fun run() {
+        var reported = 0L
+        while (true) {
+            val text = StringBuilder(lines.take())
+            while (text.length < MAX_WRITE_CHARS) text.append(lines.poll() ?: break)
+            val now = dropped.get()
+            if (now > reported) text.append("level=warn event=log_lines_dropped total=$now\n")
+            reported = now
+            out.write(text.toString().toByteArray())
+            out.flush()
+            // Lines that come within a moment go out in one write, which saves wake-ups.
+            Thread.sleep(GATHER_MS)
+        }
+    }
+
+    companion object {
+        private const val CAPACITY = 4_096
+        private const val MAX_WRITE_CHARS = 65_536
+        private const val GATHER_MS = 200L
+
+        /** Sends all log lines of the process to [out]. */
+        fun install(out: OutputStream): LineLog {
+            val log = LineLog(out)
+            KotlinLoggingConfiguration.logStartupMessage = false
+            KotlinLoggingConfiguration.loggerFactory = DirectLoggerFactory
+            KotlinLoggingConfiguration.direct.logLevel = Level.INFO
+            KotlinLoggingConfiguration.direct.appender = log
+            Thread(log::run, "log").apply { isDaemon = true }.start()
+            return log
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Main.kt
@@ -0,0 +1,51 @@
+/** Entry point of `hickory-daemon`. */
+package org.hickorytiller.daemon
+
+import arrow.core.getOrElse
+import kotlinx.coroutines.runBlocking
+import org.hickorytiller.http.EventLoop
+import java.io.File
+import java.io.FileDescriptor
+import java.io.FileOutputStream
+import java.io.IOException
+import kotlin.system.exitProcess
+
+/** Names the settings file when no argument does. */
+private const val SETTINGS_VARIABLE = "HICKORYTILLER_CONFIG"
+
+fun main(args: Array<String>) {
+    if (args.singleOrNull() == "--help") {
+        println("usage: hickory-daemon [SETTINGS.toml]; without an argument, $SETTINGS_VARIABLE names the file")
+        return
+    }
+    val path = args.firstOrNull() ?: System.getenv(SETTINGS_VARIABLE)
+    if (path == null || args.size > 1) fail("usage: hickory-daemon [SETTINGS.toml]")
+    val settings = DaemonSettings.read(readText(path)).getOrElse { faults ->
+        fail(faults.joinToString("\n") { "$path: $it" })
+    }
+    // Netty would derive an id of the machine from its network interfaces, which takes time and logs a warning.
+    System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01")
+    LineLog.install(FileOutputStream(FileDescriptor.out))
+    val daemon = Daemon(settings, EventLoop())
+    daemon.start()
+    Runtime.getRuntime().addShutdownHook(Thread({ stop(daemon) }, "stop"))
+    runBlocking { daemon.ended.await() }
+}
+
+/** On SIGTERM the process stops as planned. The JVM would exit with 143 after the hook, so the hook ends it with 0. */
+private fun stop(daemon: Daemon) {
+    daemon.beginStop()
+    runBlocking { daemon.ended.await() }
+    Runtime.getRuntime().halt(0)
+}
+
+private fun readText(path: String): String = try {
+    File(path).readText()
+} catch (e: IOException) {
+    fail("$path: ${e.message}")
+}
+
+private fun fail(message: String): Nothing {
+    System.err.println(message)
+    exitProcess(2)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/OwnStatus.kt
@@ -0,0 +1,44 @@
+/** Builds the status that this host sends to its peers. */
+package org.hickorytiller.daemon
+
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.mesh.HostStatus
+import org.hickorytiller.mesh.PeerTable
+import org.hickorytiller.metering.UsageCounters
+import org.hickorytiller.placement.Placement
+
+/** Beliefs of the process that its peers are told. */
+internal class OwnBeliefs(val takesCallers: () -> Boolean, val holdsDuties: () -> Boolean, val trueWallMs: () -> Long)
+
+/** Builds statuses of the run [process]. */
+internal class OwnStatus(
+    private val settings: DaemonSettings,
+    private val process: ProcessId,
+    private val placement: Placement,
+    private val counters: UsageCounters,
+    private val peers: PeerTable,
+    private val beliefs: OwnBeliefs,
+) {
+    private var sequence = 0L
+
+    /** The status of this moment. */
+    fun build() = HostStatus(
+        host = settings.host,
+        run = process,
+        sequence = ++sequence,
+        meshAddress = settings.listen.mesh,
+        callerAddress = settings.listen.callers,
+        takesCallers = beliefs.takesCallers(),
+        holdsDuties = beliefs.holdsDuties(),
+        wallMs = System.currentTimeMillis(),
+        load = placement.ownLoad(),
+        parts = placement.partsToShare(),
+        usage = counters.toShare(beliefs.trueWallMs()),
+        peers = peers.alive().take(MAX_PEERS).map { it.meshAddress },
+    )
+
+    private companion object {
+        // Enough for a host that has just started to find the others through any one of them.
+        const val MAX_PEERS = 16
+    }
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
@@ -0,0 +1,117 @@
+/** Keeps the list of backend servers as the platform's store has it. */
+package org.hickorytiller.daemon
+
+import io.github.oshai.kotlinlogging.KotlinLogging
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.Clock
+import org.hickorytiller.core.TimeMs
+import org.hickorytiller.placement.Placement
+import org.hickorytiller.platform.KeyedFollower
+import org.hickorytiller.platform.KeyedRecord
+import org.hickorytiller.platform.KeyedUpdates
+import org.hickorytiller.platform.SERVER_TOPIC
+import org.hickorytiller.platform.StoreClient
+import org.hickorytiller.platform.decodeServer
+import org.hickorytiller.routes.Moment
+
+/** Told when a server has left the list. */
+internal typealias OnServerGone = (BackendServer) -> Unit
+
+/** Follows the replicas' topic. Confined to the event loop. */
+internal class ServerView(
+    store: StoreClient,
+    private val clock: Clock,
+    now: () -> Moment,
+    private val scope: CoroutineScope,
+    private val placement: Placement,
+    private val health: DependencyHealth,
+) {
+    private val servers = HashMap<BackendServerId, BackendServer>()
+    private val missingSince = HashMap<BackendServerId, TimeMs>()
+    private val follower =
+        KeyedFollower(
+            store,
+            SERVER_TOPIC,
+            READ_WAIT_MS,
+            now,
+            KeyedUpdates(
+                onAll = { records, _ -> replaceAll(records) },
+                onChanges = { records, _ -> change(records) },
+                onFailure = { health.failed(it.name.lowercase()) },
+            ),
+        )
+
+    /** Follows the topic; does not return. */
+    suspend fun run(): Nothing = follower.run()
+
+    private fun replaceAll(records: List<KeyedRecord>) {
+        health.succeeded()
+        val listed = records.map { it.key }.toSet()
+        servers.keys.filter { it.value !in listed }.forEach(::missing)
+        records.forEach(::apply)
+        publish()
+    }
+
+    private fun change(records: List<KeyedRecord>) {
+        health.succeeded()
+        if (records.isEmpty()) return
+        records.forEach(::apply)
+        publish()
+    }
+
+    private fun apply(record: KeyedRecord) {
+        val id = BackendServerId(record.key)
+        val server = record.value?.let { decodeServer(record.key, it) }
+        if (server == null) return missing(id)
+        val known = servers.put(id, server)
+        missingSince -= id
+        if (known !=
+            server
+        ) {
+            log.info {
+                "event=server id=$id pool=${server.pool} domain=${server.failureDomain} state=${server.state} reclaimable=${server.reclaimable} at=${server.address}"
+            }
+        }
+    }
+
+    /**
+     * An entry that went missing around an outage of the store may only have lapsed meanwhile. Its server is kept until
+     * it would be back if it lived.
+     */
+    private fun missing(id: BackendServerId) {
+        if (id !in servers) return
+        val outage = health.lastFailure?.let { clock() - it < OUTAGE_MEMORY_MS } ?: false
+        if (!outage) return remove(id, "removed")
+        if (missingSince.putIfAbsent(id, clock()) != null) return
+        scope.launch {
+            delay(RETURN_MS)
+            if (missingSince.remove(id) != null) {
+                remove(id, "lapsed")
+                publish()
+            }
+        }
+    }
+
+    private fun remove(id: BackendServerId, reason: String) {
+        val server = servers.remove(id) ?: return
+        missingSince -= id
+        log.info { "event=server_gone id=$id pool=${server.pool} reason=$reason" }
+    }
+
+    private fun publish() = placement.replace(servers.values)
+
+    private companion object {
+        val log = KotlinLogging.logger {}
+
+        // A change is answered at once; the wait bounds only how late a connection that went silent is noticed.
+        const val READ_WAIT_MS = 1_500L
+
+        // Entries that lapsed during an outage are back within two seconds of its end.
+        const val OUTAGE_MEMORY_MS = 4_000L
+        const val RETURN_MS = 1_700L
+    }
+}
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
@@ -21,6 +21,7 @@
 import org.hickorytiller.core.Verdict
 import org.hickorytiller.http.HttpClient
 import org.hickorytiller.http.ResponseHead
+import org.hickorytiller.http.ServerSentEvent
 
 /** A request that got its whole answer. [body] is null if the answer was streamed to the caller. */
 class Completed(val head: ResponseHead, val body: ByteArray?, val attempts: Int)
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Exchange.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Exchange.kt
@@ -13,12 +13,15 @@
 import org.hickorytiller.core.Clock
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.http.ClientConnection
+import org.hickorytiller.http.EventParser
+import org.hickorytiller.http.EventTooLargeException
 import org.hickorytiller.http.Headers
 import org.hickorytiller.http.HttpClient
 import org.hickorytiller.http.HttpFault
 import org.hickorytiller.http.HttpStatus
 import org.hickorytiller.http.RequestHead
 import org.hickorytiller.http.ResponseHead
+import org.hickorytiller.http.ServerSentEvent
 
 /** How an answer begins. */
 internal sealed interface Opening {
--- a/dispatch/src/test/kotlin/org/hickorytiller/dispatch/StreamPositionTest.kt
+++ b/dispatch/src/test/kotlin/org/hickorytiller/dispatch/StreamPositionTest.kt
@@ -4,6 +4,9 @@
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.inspectors.forAll
 import io.kotest.matchers.shouldBe
+import org.hickorytiller.http.EventParser
+import org.hickorytiller.http.EventTooLargeException
+import org.hickorytiller.http.ServerSentEvent
 import kotlin.random.Random
 
 class StreamPositionTest : AnnotationSpec() {
--- a/http/src/main/kotlin/org/hickorytiller/http/ClientConnection.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/ClientConnection.kt
@@ -36,6 +36,19 @@
     var isReused = false
         internal set
 
+    /** How long the connection may stay idle before it is not used again; servers close idle connections. */
+    var idleLimitMs = Long.MAX_VALUE
+
+    private var idleSinceNs = 0L
+
+    /** Whether the connection has been idle for longer than [idleLimitMs]. */
+    internal val hasExpired: Boolean
+        get() = (System.nanoTime() - idleSinceNs) / NANOS_PER_MS >= idleLimitMs
+
+    internal fun idle() {
+        idleSinceNs = System.nanoTime()
+    }
+
     /** Whether the connection is still established as far as this side knows. */
     val isOpen: Boolean get() = channel.isActive
 
@@ -134,4 +147,8 @@
             headers().set(HttpHeaderNames.HOST, "${address.hostString}:${address.port}")
         }
     }
+
+    private companion object {
+        const val NANOS_PER_MS = 1_000_000L
+    }
 }
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/EventParser.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/EventParser.kt
@@ -2,12 +2,24 @@
  * Cuts a stream of server-sent events into whole events. Bytes of an incomplete event are held back, so a cut never
  * passes on half an event.
  */
-package org.hickorytiller.dispatch
+package org.hickorytiller.http
 
 import java.io.ByteArrayOutputStream
 
-/** One event: the bytes as received with the blank line that ends it, and its `data` lines joined by line feeds. */
-class ServerSentEvent(val bytes: ByteArray, val data: String)
+/** One event: the bytes as received with the blank line that ends it. */
+class ServerSentEvent(val bytes: ByteArray) {
+    private val lines: List<String> get() = String(bytes).split("\r\n", "\n", "\r")
+
+    /** The `data` lines joined by line feeds. */
+    val data: String
+        get() = lines
+            .filter { it == "data" || it.startsWith("data:") }
+            .joinToString("\n") { it.removePrefix("data").removePrefix(":").removePrefix(" ") }
+
+    /** The id of the event; null if it has none. */
+    val id: String?
+        get() = lines.lastOrNull { it.startsWith("id:") }?.removePrefix("id:")?.removePrefix(" ")
+}
 
 /** The peer sent more than the limit without ending an event. */
 class EventTooLargeException(maxBytes: Int) : Exception("an event is larger than $maxBytes bytes")
@@ -56,14 +68,9 @@
         val bytes = pending.toByteArray()
         pending.reset()
         complete = false
-        if (bytes.any { it != LINE_FEED && it != CARRIAGE_RETURN }) events += ServerSentEvent(bytes, dataOf(bytes))
+        if (bytes.any { it != LINE_FEED && it != CARRIAGE_RETURN }) events += ServerSentEvent(bytes)
     }
 
-    private fun dataOf(bytes: ByteArray): String = String(bytes)
-        .split("\r\n", "\n", "\r")
-        .filter { it == "data" || it.startsWith("data:") }
-        .joinToString("\n") { it.removePrefix("data").removePrefix(":").removePrefix(" ") }
-
     private companion object {
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
--- a/http/src/main/kotlin/org/hickorytiller/http/HttpClient.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/HttpClient.kt
@@ -57,7 +57,7 @@
         val connections = idle[address]
         while (connections != null) {
             val connection = connections.removeLastOrNull() ?: break
-            if (connection.isReusable) return connection.apply { isReused = true }.right()
+            if (connection.isReusable && !connection.hasExpired) return connection.apply { isReused = true }.right()
             connection.close()
         }
         return connect(address)
@@ -66,6 +66,7 @@
     /** Keeps [connection] for a later request if its last exchange was complete, otherwise closes it. */
     fun release(connection: ClientConnection) {
         if (connection.isReusable && (idle[connection.address]?.size ?: 0) < MAX_IDLE_PER_ADDRESS) {
+            connection.idle()
             idle.getOrPut(connection.address) { ArrayDeque() }.addLast(connection)
         } else {
             connection.close()
--- a/http/src/main/kotlin/org/hickorytiller/http/HttpStatus.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/HttpStatus.kt
@@ -11,7 +11,10 @@
     const val REQUEST_TIMEOUT = 408
     const val CONFLICT = 409
     const val CONTENT_TOO_LARGE = 413
+    const val GONE = 410
+    const val PRECONDITION_FAILED = 412
     const val EXPECTATION_FAILED = 417
+    const val MISDIRECTED_REQUEST = 421
     const val UNPROCESSABLE_CONTENT = 422
     const val TOO_MANY_REQUESTS = 429
     const val HEADER_FIELDS_TOO_LARGE = 431
--- /dev/null
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/HostStatus.kt
@@ -0,0 +1,49 @@
+/** What hosts tell each other, in one datagram each: that they live, where they serve, and what they have in hand. */
+package org.hickorytiller.mesh
+
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.HostId
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.placement.PartNews
+import org.hickorytiller.placement.ServerLoad
+import java.net.InetSocketAddress
+
+/** Number of a usage window; window n begins n window lengths after the start of 1970. */
+@JvmInline
+value class WindowNumber(val value: Long) : Comparable<WindowNumber> {
+    override fun compareTo(other: WindowNumber) = value.compareTo(other.value)
+
+    override fun toString() = value.toString()
+}
+
+/** Requests that began to run, by customer. */
+typealias UsageCounts = Map<CustomerId, Long>
+
+/**
+ * @property run changes with each start of the process
+ * @property sequence grows with each message of a run
+ * @property meshAddress where the host receives messages of its peers
+ * @property callerAddress where the host serves callers
+ * @property takesCallers false once the host is being stopped, or while it cannot serve
+ * @property holdsDuties whether the host reports usage and orders backend servers at present
+ * @property wallMs the sender's time of day in milliseconds since 1970
+ * @property load the sender's requests in flight
+ * @property parts where the sender has sent parts of prompts within the last moments
+ * @property usage what the sender has counted in the latest windows
+ * @property peers addresses of other hosts that the sender has heard from
+ */
+data class HostStatus(
+    val host: HostId,
+    val run: ProcessId,
+    val sequence: Long,
+    val meshAddress: InetSocketAddress,
+    val callerAddress: InetSocketAddress,
+    val takesCallers: Boolean,
+    val holdsDuties: Boolean,
+    val wallMs: Long,
+    val load: Map<BackendServerId, ServerLoad>,
+    val parts: List<PartNews>,
+    val usage: Map<WindowNumber, UsageCounts>,
+    val peers: List<InetSocketAddress>,
+)
--- /dev/null
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
@@ -0,0 +1,88 @@
+/** Sends the own status to all peers at a steady interval and receives theirs, one datagram each. */
+package org.hickorytiller.mesh
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.FixedRecvByteBufAllocator
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.DatagramPacket
+import io.netty.channel.socket.nio.NioDatagramChannel
+import kotlinx.coroutines.delay
+import java.net.InetSocketAddress
+
+/** Builds the own status at the moment of sending. */
+typealias BuildStatus = () -> HostStatus
+
+/** Told of each status received; the flag says whether it is the first of its run. */
+typealias OnStatus = (HostStatus, Boolean) -> Unit
+
+/** The exchange of statuses. Confined to the event loop of [group], which must have one thread. */
+class Mesh(
+    private val group: EventLoopGroup,
+    private val address: InetSocketAddress,
+    private val peers: PeerTable,
+    private val build: BuildStatus,
+    private val onStatus: OnStatus,
+    private val rules: MeshRules = MeshRules(),
+) {
+    private var channel: Channel? = null
+
+    /** Starts receiving. Throws [java.net.BindException] if the address is in use. */
+    fun listen() {
+        channel =
+            Bootstrap()
+                .group(group)
+                .channel(NioDatagramChannel::class.java)
+                .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
+                .handler(Receiver())
+                .bind(address)
+                .sync()
+                .channel()
+    }
+
+    /** Sends the status until cancelled. With many hosts the interval grows, so that a host's cost stays bounded. */
+    suspend fun run() {
+        while (true) {
+            announce()
+            val hosts = peers.destinations().size
+            delay(rules.intervalMs.coerceAtLeast(hosts * INTERVAL_PER_HOST_MS).coerceAtMost(rules.silenceMs / 2))
+        }
+    }
+
+    /** Sends the status to all peers now. */
+    fun announce() {
+        val bytes = encodeStatus(build())
+        if (bytes.size > MAX_DATAGRAM_BYTES) return
+        peers.destinations().filter { it != address }.forEach { send(bytes, it) }
+    }
+
+    private fun send(bytes: ByteArray, to: InetSocketAddress) {
+        channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), to))
+    }
+
+    private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
+        override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
+            val bytes = ByteArray(packet.content().readableBytes())
+            packet.content().readBytes(bytes)
+            val status = decodeStatus(bytes) ?: return
+            val isNew = peers.receive(status)
+            onStatus(status, isNew)
+            // A host that has just started learns at once who is there.
+            if (isNew) send(encodeStatus(build()), status.meshAddress)
+        }
+
+        @Deprecated("Netty's name for the callback")
+        override fun exceptionCaught(ctx: ChannelHandlerContext, cause: Throwable) {
+            // A datagram to a host that is down may come back as an error; the socket stays usable.
+        }
+    }
+
+    private companion object {
+        const val MAX_DATAGRAM_BYTES = 16_384
+        const val INTERVAL_PER_HOST_MS = 15L
+    }
+}
--- /dev/null
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
@@ -0,0 +1,79 @@
+/** Encodes host statuses as JSON. A datagram that is not a status is dropped, since any process may send one. */
+package org.hickorytiller.mesh
+
+import arrow.core.raise.SingletonRaise
+import arrow.core.raise.nullable
+import com.fasterxml.jackson.core.JsonProcessingException
+import com.fasterxml.jackson.databind.JsonNode
+import com.fasterxml.jackson.databind.node.ObjectNode
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.HostId
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.core.flag
+import org.hickorytiller.core.jsonTree
+import org.hickorytiller.core.parseAddress
+import org.hickorytiller.core.text
+import org.hickorytiller.core.whole
+import org.hickorytiller.placement.PartId
+import org.hickorytiller.placement.PartNews
+import org.hickorytiller.placement.ServerLoad
+
+/** The bytes of [status]. */
+internal fun encodeStatus(status: HostStatus): ByteArray {
+    val root = jsonTree.createObjectNode()
+    root.put("host", status.host.value).put("run", status.run.value).put("seq", status.sequence)
+    root.put("mesh", status.meshAddress.text()).put("callers", status.callerAddress.text())
+    root.put("serving", status.takesCallers).put("duties", status.holdsDuties).put("wall", status.wallMs)
+    val load = root.putObject("load")
+    status.load.forEach { (server, figures) ->
+        load.putArray(server.value).add(figures.requests).add(figures.unreadTokens)
+    }
+    val parts = root.putArray("parts")
+    status.parts.forEach { parts.addArray().add(it.part.value).add(it.server.value).add(it.ageMs) }
+    val usage = root.putObject("usage")
+    status.usage.forEach { (window, counts) -> usage.putObject(window.toString()).putCounts(counts) }
+    val peers = root.putArray("peers")
+    status.peers.forEach { peers.add(it.text()) }
+    return jsonTree.writeValueAsBytes(root)
+}
+
+/** The status in [bytes]; null if they are none. */
+internal fun decodeStatus(bytes: ByteArray): HostStatus? {
+    val root =
+        try {
+            jsonTree.readTree(bytes)
+        } catch (_: JsonProcessingException) {
+            return null
+        }
+    return nullable { decodeFields(root) }
+}
+
+private fun SingletonRaise<Nothing?>.decodeFields(root: JsonNode) = HostStatus(
+    host = HostId(root.text("host").bind()),
+    run = ProcessId(root.text("run").bind()),
+    sequence = root.whole("seq").bind(),
+    meshAddress = root.text("mesh").bind().let(::parseAddress).bind(),
+    callerAddress = root.text("callers").bind().let(::parseAddress).bind(),
+    takesCallers = root.flag("serving").bind(),
+    holdsDuties = root.flag("duties").bind(),
+    wallMs = root.whole("wall").bind(),
+    load = root.path("load").entries { decodeLoad(it) }.mapKeys { BackendServerId(it.key) },
+    parts = root.path("parts").map { decodePart(it) },
+    usage = root.path("usage").entries { decodeCounts(it) }.mapKeys { WindowNumber(it.key.toLongOrNull() ?: -1) },
+    peers = root.path("peers").mapNotNull { parseAddress(it.asText()) },
+)
+
+private fun decodePart(node: JsonNode) =
+    PartNews(PartId(node.path(0).asLong()), BackendServerId(node.path(1).asText()), node.path(2).asLong())
+
+private fun ObjectNode.putCounts(counts: UsageCounts) = counts.forEach { (customer, count) ->
+    put(customer.value, count)
+}
+
+private fun decodeLoad(node: JsonNode) = ServerLoad(node.path(0).asInt(), node.path(1).asInt())
+
+private fun decodeCounts(node: JsonNode): UsageCounts = node.entries { it.asLong() }.mapKeys { CustomerId(it.key) }
+
+private fun <T> JsonNode.entries(decode: (JsonNode) -> T): Map<String, T> =
+    properties().associate { it.key to decode(it.value) }
--- /dev/null
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/RelayOutcome.kt
@@ -0,0 +1,32 @@
+/** How a request ended, for the caller's answer, the log and the metrics. */
+package org.hickorytiller.relay
+
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.Verdict
+
+/** Why a request ended as it did. */
+enum class OutcomeReason(val code: String) {
+    ANSWERED("answered"),
+    SERVER_ERROR("server_error"),
+    NO_SERVER("no_server"),
+    REFUSED("refused"),
+    UNREACHABLE("unreachable"),
+    LOST("lost"),
+    DEADLINE("deadline"),
+    STREAM_BROKEN("stream_broken"),
+    CALLER_GONE("caller_gone"),
+}
+
+/**
+ * @property verdict whether the request may have run
+ * @property hasBegun whether a part of an answer was passed on, so that no other answer may follow
+ * @property sends number of servers that the request was sent to
+ */
+data class RelayOutcome(
+    val reason: OutcomeReason,
+    val verdict: Verdict,
+    val hasBegun: Boolean,
+    val sends: Int,
+    val server: BackendServerId?,
+    val firstByteMs: Long?,
+)
--- /dev/null
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/RelayRequest.kt
@@ -0,0 +1,42 @@
+/** A request as the relay sees it, whatever front end it came through. */
+package org.hickorytiller.relay
+
+import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.TimeMs
+import org.hickorytiller.http.RequestHead
+import org.hickorytiller.placement.Prompt
+import org.hickorytiller.routes.Route
+
+/** The caller's id of one attempt. Answers are told apart by it. */
+@JvmInline
+value class RequestId(val value: String) {
+    override fun toString() = value
+}
+
+/** Id of an event of a stream; ids grow within a stream. */
+@JvmInline
+value class EventId(val value: String) {
+    override fun toString() = value
+}
+
+/** What is passed on unchanged: [head] without the fields that the system sets itself. */
+class ForwardedCall(val head: RequestHead, val body: ByteArray)
+
+/**
+ * @property customer null on a public route
+ * @property priority a lower number is more urgent
+ * @property resumeAfter last event that the caller has of an earlier stream
+ */
+data class RelayRequest(
+    val id: RequestId,
+    val route: Route,
+    val pool: PoolId,
+    val customer: CustomerId?,
+    val priority: Int,
+    val call: ForwardedCall,
+    val prompt: Prompt?,
+    val resumeAfter: EventId?,
+    val receivedAt: TimeMs,
+    val deadline: TimeMs,
+)
--- /dev/null
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/RetryAllowance.kt
@@ -0,0 +1,51 @@
+/**
+ * Keeps the repeats of all hosts together within a share of the requests. The bound is common to all hosts, and every
+ * host keeps to its part of it, so no messages are needed when hosts come and go.
+ */
+package org.hickorytiller.relay
+
+import org.hickorytiller.core.Clock
+import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.TimeMs
+
+/**
+ * @property ratio repeats for each request of the pool in the window
+ * @property slack repeats that this host may send beyond that
+ * @property windowMs length of the sliding window
+ */
+data class RetryRules(val ratio: Double, val slack: Int, val windowMs: Long)
+
+/** Repeats of one host, by pool. */
+class RetryAllowance(private val clock: Clock, private val rules: RetryRules) {
+    private val pools = HashMap<PoolId, Window>()
+
+    /** Records a caller's request to [pool]. */
+    fun requested(pool: PoolId) {
+        window(pool).requests.addLast(clock())
+    }
+
+    /** Takes one repeat to [pool]; false if the window has no room for it. */
+    fun take(pool: PoolId): Boolean {
+        val window = window(pool)
+        if (window.repeats.size + 1 > rules.ratio * window.requests.size + rules.slack) return false
+        window.repeats.addLast(clock())
+        return true
+    }
+
+    private fun window(pool: PoolId): Window {
+        val window = pools.getOrPut(pool) { Window() }
+        val oldest = clock() - rules.windowMs
+        window.requests.dropBefore(oldest)
+        window.repeats.dropBefore(oldest)
+        return window
+    }
+
+    private fun ArrayDeque<TimeMs>.dropBefore(oldest: TimeMs) {
+        while (isNotEmpty() && first() < oldest) removeFirst()
+    }
+
+    private class Window {
+        val requests = ArrayDeque<TimeMs>()
+        val repeats = ArrayDeque<TimeMs>()
+    }
+}
--- /dev/null
+++ b/routes/src/main/kotlin/org/hickorytiller/routes/FreshnessProof.kt
@@ -0,0 +1,50 @@
+/**
+ * Proves how old this host's view of the configuration is. A withdrawn key must stop working within a bound on every
+ * host, also on one that was cut off or suspended, so keyed requests are served only under a recent proof.
+ *
+ * The age counts from when a successful read was sent: the answer shows at least the state of that moment. The
+ * monotonic clock stands still while a host is suspended and the time of day may jump, so a proof is void as soon as
+ * the two disagree about the time since it was made. A new read then gives a new one.
+ */
+package org.hickorytiller.routes
+
+import org.hickorytiller.core.Clock
+import org.hickorytiller.core.TimeMs
+
+/** Gives the time of day in milliseconds since 1970. */
+typealias WallClock = () -> Long
+
+/** A moment on both clocks. */
+data class Moment(val monotonic: TimeMs, val wallMs: Long)
+
+/**
+ * @property maxAgeMs age from which a proof is too old
+ * @property maxDisagreementMs difference between the clocks' readings that ordinary drift does not reach
+ */
+data class FreshnessRules(val maxAgeMs: Long, val maxDisagreementMs: Long = 150)
+
+/** The newest proof of this host. */
+class FreshnessProof(private val clock: Clock, private val wallClock: WallClock, private val rules: FreshnessRules) {
+    private var newest: Moment? = null
+
+    /** The present moment; to be taken before a read is sent. */
+    fun now() = Moment(clock(), wallClock())
+
+    /** Records that a read sent at [sentAt] succeeded. */
+    fun proven(sentAt: Moment) {
+        val known = newest
+        if (known == null || isVoid(known) || sentAt.monotonic > known.monotonic) newest = sentAt
+    }
+
+    /** Age of the newest valid proof in milliseconds; null if there is none. */
+    fun ageMs(): Long? = newest?.takeUnless(::isVoid)?.let { clock() - it.monotonic }
+
+    /** Whether requests may rely on the configuration. */
+    fun holds(): Boolean = ageMs()?.let { it <= rules.maxAgeMs } ?: false
+
+    private fun isVoid(moment: Moment): Boolean {
+        val monotonicMs = clock() - moment.monotonic
+        val wallMs = wallClock() - moment.wallMs
+        return wallMs - monotonicMs !in -rules.maxDisagreementMs..rules.maxDisagreementMs
+    }
+}
