--- a/placement/src/main/kotlin/org/hickorytiller/placement/PlacementRules.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/PlacementRules.kt
@@ -22,5 +22,5 @@
     val partKeptMs: Long = 60_000,
     val rereadWindowMs: Long = 12_000,
     val rereadFactor: Double = 3.0,
-    val homeBonusMs: Double = 60.0,
+    val homeBonusMs: Double = 200.0,
 )
--- a/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
+++ b/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
@@ -23,7 +23,7 @@
     val requestsPerServer: Int = 10,
     val holdMs: Long = 12_000,
     val refusedMs: Long = 3_000,
-    val leastPerDomain: Int = 2,
+    val leastPerDomain: Int = 3,
 )
 
 /** Plans one pool. Confined to the event loop. */
@@ -45,7 +45,7 @@
         if (scaling.reclaimablePrice == null) return fullPriceOnly(view, scaling, domains, needed)
         val perDomain = perDomain(needed, domains.size, scaling)
         val reclaimable = domains.associateWith { perDomain }
-        val missing = (needed - runningReclaimable(view)).coerceAtLeast(0)
+        val missing = (needed - reclaimable.entries.sumOf { expected(view, it.key, it.value) }).coerceAtLeast(0)
         val fullPrice = spread(missing, domains.sortedBy { scaling.domainPrices[it] }, reclaimable, scaling)
         return domains.flatMap { domain ->
             listOf(
@@ -70,8 +70,13 @@
         return ceilDivide(needed, survivors).coerceIn(maxOf(scaling.min, rules.leastPerDomain), scaling.max)
     }
 
-    private fun runningReclaimable(view: FleetView) =
-        view.servers.count { it.reclaimable && it.state == BackendServerState.RUNNING }
+    /** Servers that an order of [count] in [domain] gives; where none are to be had, those that run. */
+    private fun expected(view: FleetView, domain: FailureDomain, count: Int): Int {
+        if (!isRefused(domain)) return count
+        return view.servers.count {
+            it.reclaimable && it.failureDomain == domain && it.state == BackendServerState.RUNNING
+        }
+    }
 
     private fun fullPriceOnly(
         view: FleetView,
