--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -80,7 +80,7 @@
             placement,
             counters,
             peers,
-            OwnBeliefs(::takesCallers, { dutyTask?.isHolder ?: false }, ::trueWallMs),
+            OwnBeliefs(::canServe, { dutyTask?.isHolder ?: false }, ::trueWallMs),
         )
     private val mesh: Mesh = Mesh(loop.group, settings.listen.mesh, peers, status::build, ::received)
     private val stopTask: StopTask =
@@ -155,11 +155,16 @@
 
     private fun takesCallers() = !stopTask.isStopping && configuration.table != null
 
+    /** Whether callers get more than refusals here: a host that is cut off from the store refuses keyed requests. */
+    private fun canServe() = takesCallers() && proof.holds()
+
     private fun directoryAnswer(): ByteArray {
-        val others = peers.alive().filter { it.takesCallers }.map { it.callerAddress }
-        val own = listOf(settings.listen.callers).filter { takesCallers() }
-        // An address of a host that may be gone is better than none.
-        val addresses = (own + others).ifEmpty { listOf(settings.listen.callers) }
+        val peers = peers.alive()
+        val others = peers.filter { it.takesCallers }.map { it.callerAddress }
+        val own = listOf(settings.listen.callers).filter { canServe() }
+        // While the store is away no host can prove its configuration, and callers may ask any of them.
+        val all = peers.map { it.callerAddress } + settings.listen.callers
+        val addresses = (own + others).ifEmpty { all }
         return encodeDirectory(addresses, minOf(DIRECTORY_LIFETIME_MS, bounds.directoryLifetimeMs) / MS_PER_S)
     }
 
@@ -176,8 +181,8 @@
         val log = KotlinLogging.logger {}
         const val RUN_ID_CHARS = 8
 
-        // Covers clocks that run unevenly and the time from the check to the send.
-        const val KEY_WITHDRAWAL_MARGIN_MS = 600L
+        // Covers clocks that run unevenly. A request was sent before it is checked, so its way here needs no margin.
+        const val KEY_WITHDRAWAL_MARGIN_MS = 300L
 
         // Callers use an answer of the directory for up to three times its lifetime.
         const val DIRECTORY_LIFETIME_MS = 1_000L
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
@@ -69,13 +69,12 @@
         if (server == null) return missing(id)
         val known = servers.put(id, server)
         missingSince -= id
-        if (known !=
-            server
-        ) {
-            log.info {
-                "event=server id=$id pool=${server.pool} domain=${server.failureDomain} state=${server.state} reclaimable=${server.reclaimable} at=${server.address}"
-            }
-        }
+        if (known != server) logChange(server)
+    }
+
+    private fun logChange(server: BackendServer) = log.info {
+        "event=server id=${server.id} pool=${server.pool} domain=${server.failureDomain} state=${server.state} " +
+            "reclaimable=${server.reclaimable} at=${server.address}"
     }
 
     /**
--- /dev/null
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonSettingsTest.kt
@@ -0,0 +1,54 @@
+package org.hickorytiller.daemon
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import java.io.File
+
+class DaemonSettingsTest : AnnotationSpec() {
+    /** The template as the platform fills it in. */
+    private val text =
+        File("../platform/daemon.template.toml").readText()
+            .replace(Regex("\\{\\{#seeds}}.*\\{\\{/seeds}}"), "\"10.1.0.1:8229\",\"10.2.0.1:8229\"")
+            .replace("{{node}}", "edge-a-1")
+            .replace("{{zone}}", "a")
+            .replace("{{platform.addr}}", "10.200.1.7:8223")
+            .replace("{{cloud-api.addr}}", "10.200.0.61:8223")
+            .replace(Regex("\\{\\{listen\\.\\w+}}"), "10.1.0.19:8227")
+            .replace("{{ip}}", "10.1.0.19")
+            .replace("{{port-range.0}}", "7340")
+            .replace("{{bounds.revoke-ms}}", "5000")
+            .replace("{{bounds.grace-s}}", "8")
+            .replace("{{bounds.lease-ms}}", "3000")
+            .replace("{{bounds.report-window-s}}", "5")
+            .replace("{{bounds.budget-slack}}", "56")
+            .replace("{{bounds.budget-window-s}}", "10")
+            .replace("{{bounds.ttl_max_s}}", "5")
+
+    @Test
+    fun `guards against a template that gives settings the daemon does not take`() {
+        val settings = DaemonSettings.read(text).getOrNull()!!
+        settings.bounds.keyWithdrawalMs shouldBe 5_000
+        settings.bounds.graceMs shouldBe 8_000
+        settings.listen.mesh.port shouldBe 7_340
+        settings.contacts.size shouldBe 2
+    }
+
+    @Test
+    fun `guards against bad settings without a clear error`() {
+        val cases =
+            listOf(
+                "host = \"edge-a-1\"" to "" to "host: missing",
+                "host = \"edge-a-1\"" to "host = 7" to "host: expected a non-empty string",
+                "keyWithdrawalMs = 5000" to "keyWithdrawalMs = 10" to "bounds.keyWithdrawalMs: expected a value",
+                "store = \"10.200.1.7:8223\"" to "store = \"store.example:1\"" to "store: expected IP:PORT",
+                "[listen]" to "[listen]\nunknown = 1" to "listen.unknown: unknown name",
+                "[bounds]" to "[bounds" to "line",
+            )
+        cases.forAll { (change, message) ->
+            val faults = DaemonSettings.read(text.replace(change.first, change.second)).leftOrNull()!!
+            faults.joinToString("\n") shouldContain message
+        }
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonTest.kt
@@ -0,0 +1,173 @@
+package org.hickorytiller.daemon
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.string.shouldContain
+import org.hickorytiller.core.text
+import org.hickorytiller.http.RequestHead
+import org.hickorytiller.standins.ReplicaFault
+
+class DaemonTest : AnnotationSpec() {
+    private lateinit var world: DaemonWorld
+
+    @BeforeEach
+    fun start() {
+        world = DaemonWorld()
+    }
+
+    @AfterEach
+    fun stop() = world.close()
+
+    private fun fault(fault: ReplicaFault) = world.onLoop { world.replicas.forEach { it.faults += fault } }
+
+    @Test
+    fun `guards against an answer that is not the server's`() {
+        val answer = world.post("/once/x", "r1", "key-1")
+        answer.status shouldBe 200
+        answer.head.headers["Response-Signature"]!! shouldContain "signature-i-"
+        String(answer.body) shouldContain "answer of i-"
+        world.runsOf("r1") shouldBe 1
+        val run = world.onLoop { world.replicas.flatMap { it.runs }.first { it.head.headers["Request-Id"] == "r1" } }
+        run.head.headers["Authorization"] shouldBe null
+        run.head.headers["Tenant"] shouldBe "clinic"
+        String(run.body) shouldBe "body"
+    }
+
+    @Test
+    fun `guards against a stream that is not the server's events in order`() {
+        val answer = world.post("/chat/x", "r1", "key-1", "Token-Usage" to "10,12", "Prefix-Hash" to "a:5,b:5")
+        String(answer.body) shouldBe (1..4).joinToString("") { "id: $it\ndata: t$it\n\n" }
+    }
+
+    @Test
+    fun `guards against a torn stream that is not continued on the other server`() {
+        world.onLoop { world.replicas.forEach { it.faults.addFirst(ReplicaFault.TORN) } }
+        world.onLoop { world.replicas[1].faults.clear() }
+        (1..6).toList().forAll {
+            val answer = world.post("/chat/x", "torn-$it", "key-1", "Token-Usage" to "10,12")
+            String(answer.body) shouldBe (1..4).joinToString("") { id -> "id: $id\ndata: t$id\n\n" }
+        }
+    }
+
+    @Test
+    fun `guards against a second run of a request that must run once, and against a false refusal`() {
+        fault(ReplicaFault.LOSE_ANSWER)
+        world.post("/once/x", "r1", "key-1").status shouldBe 502
+        world.runsOf("r1") shouldBe 1
+        world.onLoop { world.replicas.forEach { it.faults.clear() } }
+        fault(ReplicaFault.SHED)
+        val refused = world.post("/once/x", "r2", "key-1")
+        refused.status shouldBe 503
+        refused.head.headers["Retry-After"]!!.toDouble() shouldBe 0.2
+        world.runsOf("r2") shouldBe 0
+    }
+
+    @Test
+    fun `guards against a repeatable request that is not sent to the other server`() {
+        listOf(ReplicaFault.LOSE_ANSWER, ReplicaFault.SHED, ReplicaFault.TORN).forAll { fault ->
+            world.onLoop { world.replicas[0].faults += fault }
+            (1..4).toList().forAll { world.post("/read/x", "$fault-$it", "key-1").status shouldBe 200 }
+        }
+    }
+
+    @Test
+    fun `guards against a late answer to an earlier request that is taken for this one's`() {
+        fault(ReplicaFault.LATE_ANSWER_FIRST)
+        String(world.post("/once/x", "r1", "key-1").body) shouldContain "answer of i-"
+    }
+
+    @Test
+    fun `guards against truncated answers that look whole`() {
+        fault(ReplicaFault.TORN)
+        world.post("/once/x", "r1", "key-1").status shouldBe 502
+    }
+
+    @Test
+    fun `guards against unknown keys, unknown routes, and a withdrawn key on an open connection`() {
+        world.post("/once/x", "r1", "key-3").status shouldBe 401
+        world.post("/once/x", "r2", null).status shouldBe 401
+        world.post("/none/x", "r3", "key-1").status shouldBe 404
+        world.post("/once/x", "r4", "key-2").status shouldBe 200
+        world.onLoop { world.putConfiguration(2, listOf("key-1")) }
+        world.await { world.post("/once/x", "r5", "key-2").status == 401 }
+        world.onLoop { world.putConfiguration(1, listOf("key-1", "key-2")) }
+        world.post("/once/x", "r6", "key-1").status shouldBe 200
+        world.post("/once/x", "r7", "key-2").status shouldBe 401
+    }
+
+    @Test
+    fun `guards against keyed requests under a configuration that nothing proves fresh`() {
+        world.onLoop { world.store.outageStatus = 503 }
+        world.await { world.post("/once/x", "before", "key-1").status == 503 }
+        world.post("/once/x", "r1", "key-1").status shouldBe 503
+        world.runsOf("r1") shouldBe 0
+        world.post("/once/x", "r2", "key-9").status shouldBe 503
+        world.post("/none/x", "r3", "key-1").status shouldBe 503
+        world.onLoop { world.store.outageStatus = null }
+        world.await { world.post("/once/x", "r4", "key-1").status == 200 }
+    }
+
+    @Test
+    fun `guards against a follower that stops when the history is gone`() {
+        world.onLoop {
+            world.store.forgetHistory("keyed.op")
+            world.store.forgetHistory("keyed.servers")
+            world.putConfiguration(3, listOf("key-4"))
+        }
+        world.await { world.post("/once/x", "r1", "key-4").status == 200 }
+    }
+
+    @Test
+    fun `guards against new work for a server that leaves`() {
+        world.onLoop {
+            val address = java.net.InetSocketAddress("127.0.0.1", 1)
+            world.putReplica("i-1", address, state = "draining")
+        }
+        world.await { world.post("/once/x", "probe", "key-1").status == 200 && world.onLoop { world.store.calls } > 0 }
+        val before = world.onLoop { world.replicas[0].runs.size }
+        repeat(8) { world.post("/once/x", "d$it", "key-1").status shouldBe 200 }
+        world.onLoop { world.replicas[0].runs.size } shouldBe before
+    }
+
+    @Test
+    fun `guards against usage that is not reported, or reported otherwise the second time`() {
+        repeat(5) { world.post("/once/x", "u$it", "key-1") }
+        world.await { reports().values.sumOf { it.path("counts").path("clinic").asInt() } >= 5 }
+        world.onLoop { world.duties.calls.toList() }
+            .filter { it.path == "/usage" }
+            .groupBy { it.body.path("window").asLong() }
+            .values
+            .toList()
+            .forAll { calls -> calls.map { it.body.toString() }.toSet().size shouldBe 1 }
+    }
+
+    @Test
+    fun `guards against a lost answer of the store that leaves the duties undone`() {
+        world.onLoop { world.store.loseAnswers = 2 }
+        world.await { reports().size >= 2 }
+    }
+
+    @Test
+    fun `guards against a planned stop that cuts a request or goes on taking callers`() {
+        String(world.call(world.directory, RequestHead("GET", "/resolve?name=h.example")).body) shouldContain world.callers.text()
+        world.beginStop()
+        world.await { world.call(world.readiness, RequestHead("GET", "/ready")).status == 503 }
+        val answer = world.post("/once/x", "r1", "key-1")
+        answer.status shouldBe 200
+        answer.head.headers["connection"] shouldBe "close"
+    }
+
+    @Test
+    fun `guards against metrics that do not count what happened`() {
+        world.post("/once/x", "r1", "key-3")
+        val text = String(world.call(world.metrics, RequestHead("GET", "/metrics")).body)
+        text shouldContain "hickory_requests_total{outcome=\"answered\",route=\"once\"}"
+        text shouldContain "hickory_rejections_total{reason=\"unknown_key\"} 1"
+        text shouldContain "hickory_request_seconds_bucket"
+    }
+
+    private fun reports() = world.onLoop { world.duties.calls.toList() }
+        .filter { it.path == "/usage" }
+        .associate { it.body.path("window").asLong() to it.body }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonWorld.kt
@@ -0,0 +1,118 @@
+package org.hickorytiller.daemon
+
+import com.fasterxml.jackson.databind.node.ObjectNode
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.HostId
+import org.hickorytiller.core.jsonTree
+import org.hickorytiller.core.text
+import org.hickorytiller.http.EventLoop
+import org.hickorytiller.http.Headers
+import org.hickorytiller.http.HttpClient
+import org.hickorytiller.http.HttpLimits
+import org.hickorytiller.http.HttpServer
+import org.hickorytiller.http.RequestHead
+import org.hickorytiller.http.Response
+import org.hickorytiller.standins.PlatformDutyStandIn
+import org.hickorytiller.standins.PlatformReplicaStandIn
+import org.hickorytiller.standins.PlatformStoreStandIn
+import java.net.InetSocketAddress
+import java.net.ServerSocket
+
+/** One daemon on loopback before stand-ins of the platform's store, two replicas and the duty interface. */
+internal class DaemonWorld : AutoCloseable {
+    val loop = EventLoop()
+    val store = PlatformStoreStandIn()
+    val duties = PlatformDutyStandIn()
+    val replicas = listOf(PlatformReplicaStandIn("i-1"), PlatformReplicaStandIn("i-2"))
+    private val client = HttpClient(loop.group, HttpLimits())
+    private val storeServer: HttpServer
+    private val settings: DaemonSettings
+    private val daemon: Daemon
+
+    init {
+        storeServer = store.start(loop.group, loop.scope, free())
+        val dutyServer = duties.start(loop.group, loop.scope, free())
+        onLoop { putConfiguration(1, listOf("key-1", "key-2")) }
+        replicas.forEachIndexed { index, replica ->
+            val server = replica.start(loop.group, loop.scope, free())
+            onLoop { putReplica("i-${index + 1}", server.address) }
+        }
+        settings =
+            DaemonSettings(
+                HostId("host-1"),
+                FailureDomain("z-a"),
+                ListenSettings(free(), free(), free(), free(), free()),
+                contacts = emptyList(),
+                storeServer.address,
+                dutyServer.address,
+                BoundSettings(2_600, 8_000, 3_000, 1_000, 20, 56, 10_000, 5_000),
+            )
+        daemon = Daemon(settings, loop).also { it.start() }
+        await { call(settings.listen.readiness, RequestHead("GET", "/ready")).status == 200 }
+        await { replicas.isNotEmpty() && post("/once/x", "warm-up", "key-1").status == 200 }
+    }
+
+    val callers get() = settings.listen.callers
+    val directory get() = settings.listen.directory
+    val metrics get() = settings.listen.metrics
+    val readiness get() = settings.listen.readiness
+
+    fun putConfiguration(version: Int, keys: List<String>) {
+        val root = jsonTree.createObjectNode().put("version", version)
+        val routes = root.putArray("routes")
+        routes.addObject().route("once", "non_idempotent", attempts = 1)
+        routes.addObject().route("read", "idempotent", attempts = 2)
+        routes.addObject().route("chat", "stream", attempts = 2).put("can-resume", true)
+        root.putArray("services").addObject().put("name", "pool")
+        val tenant = root.putArray("tenants").addObject().put("name", "clinic")
+        val list = tenant.putArray("api-keys")
+        keys.forEach { list.add(it) }
+        store.put("keyed.op", "config", jsonTree.writeValueAsString(root))
+    }
+
+    private fun ObjectNode.route(name: String, kind: String, attempts: Int) = put("name", name)
+        .put("host", "h.example")
+        .put("path-prefix", "/$name/")
+        .put("kind", kind)
+        .put("timeout-ms", 2_000)
+        .put("goal-ms", 200)
+        .put("service", "pool")
+        .put("attempts", attempts)
+
+    fun putReplica(id: String, address: InetSocketAddress, state: String = "ready") {
+        val entry = jsonTree.createObjectNode().put("service", "pool").put("addr", address.text()).put("zone", "z-a")
+        store.put("keyed.servers", id, jsonTree.writeValueAsString(entry.put("slots", 6).put("state", state).put("born", 1)))
+    }
+
+    fun post(path: String, id: String, key: String?, vararg more: Pair<String, String>): Response {
+        val fields = mutableListOf("Host" to "h.example", "Request-Id" to id, *more)
+        key?.let { fields += "Authorization" to "Bearer $it" }
+        return call(callers, RequestHead("POST", path, Headers.of(*fields.toTypedArray())), "body".toByteArray())
+    }
+
+    fun call(address: InetSocketAddress, head: RequestHead, body: ByteArray = ByteArray(0)): Response = onLoop {
+        client.call(address, head, body, timeoutMs = 4_000).fold({ error("$it from $address") }, { it })
+    }
+
+    fun <T> onLoop(block: suspend () -> T): T = runBlocking { withContext(loop.scope.coroutineContext) { block() } }
+
+    /** Waits for [condition]; fails after ten seconds, which no healthy run needs. */
+    fun await(condition: () -> Boolean) {
+        val deadlineNs = System.nanoTime() + 10_000_000_000
+        while (!runCatching(condition).getOrDefault(false)) {
+            check(System.nanoTime() < deadlineNs) { "the condition did not come true" }
+            runBlocking { delay(20) }
+        }
+    }
+
+    fun runsOf(id: String): Int = onLoop { replicas.sumOf { replica -> replica.runs.count { it.head.headers["Request-Id"] == id } } }
+
+    fun beginStop() = daemon.beginStop()
+
+    override fun close() = loop.close()
+
+    private fun free(): InetSocketAddress = ServerSocket(0).use { InetSocketAddress("127.0.0.1", it.localPort) }
+}
--- /dev/null
+++ b/mesh/src/test/kotlin/org/hickorytiller/mesh/PeerTableTest.kt
@@ -0,0 +1,99 @@
+package org.hickorytiller.mesh
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
+import io.kotest.matchers.shouldBe
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.HostId
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.core.TimeMs
+import org.hickorytiller.placement.PartId
+import org.hickorytiller.placement.PartNews
+import org.hickorytiller.placement.ServerLoad
+import java.net.InetSocketAddress
+
+class PeerTableTest : AnnotationSpec() {
+    private var nowMs = 0L
+    private val server = BackendServerId("s1")
+
+    private fun table() = PeerTable({ TimeMs(nowMs) }, HostId("own"))
+
+    private fun status(host: String, sequence: Long, run: String = "run", wallMs: Long = 1_000_000, port: Int = 7_340) = HostStatus(
+        HostId(host),
+        ProcessId(run),
+        sequence,
+        InetSocketAddress("10.0.0.1", port),
+        InetSocketAddress("10.0.0.1", 8_000),
+        takesCallers = true,
+        holdsDuties = false,
+        wallMs,
+        load = mapOf(server to ServerLoad(2, 100)),
+        parts = listOf(PartNews(PartId(-7), server, 20)),
+        usage = mapOf(WindowNumber(5) to mapOf(CustomerId("c") to 3L)),
+        peers = listOf(InetSocketAddress("10.0.0.9", 7_340)),
+    )
+
+    @Test
+    fun `guards against a host that callers are sent to after it fell silent`() {
+        val table = table()
+        table.receive(status("a", 1)) shouldBe true
+        table.alive().size shouldBe 1
+        nowMs += 1_801
+        table.alive().shouldBeEmpty()
+        table.load() shouldBe emptyMap()
+    }
+
+    @Test
+    fun `guards against an old message that replaces a newer one, and against a restart that is ignored`() {
+        val table = table()
+        table.receive(status("a", 9))
+        table.receive(status("a", 3, wallMs = 5)) shouldBe false
+        table.alive().single().sequence shouldBe 9
+        table.receive(status("a", 1, run = "next")) shouldBe true
+        table.alive().single().run.value shouldBe "next"
+    }
+
+    @Test
+    fun `guards against an own message that counts as a peer`() {
+        val table = table()
+        table.receive(status("own", 1)) shouldBe false
+        table.alive().shouldBeEmpty()
+    }
+
+    @Test
+    fun `guards against messages to the address that a host has left`() {
+        val table = table()
+        table.receive(status("a", 1, port = 7_340))
+        table.receive(status("a", 1, run = "next", port = 7_341))
+        table.destinations().map { it.port to it.address.hostAddress } shouldContainExactlyInAnyOrder
+            listOf(7_341 to "10.0.0.1", 7_340 to "10.0.0.9")
+    }
+
+    @Test
+    fun `guards against a usage window that follows a clock that has jumped`() {
+        val table = table()
+        listOf("a", "b", "c", "d").forEach { table.receive(status(it, 1, wallMs = 1_000_000)) }
+        table.receive(status("e", 1, wallMs = 1_002_400))
+        table.medianWallMs(ownWallMs = 1_002_400) shouldBe 1_000_000
+        nowMs += 500
+        table.medianWallMs(ownWallMs = 1_000_500) shouldBe 1_000_500
+        table().medianWallMs(ownWallMs = 77) shouldBe 77
+    }
+
+    @Test
+    fun `guards against a status that changes on the way`() {
+        val sent = status("a", 4)
+        decodeStatus(encodeStatus(sent)) shouldBe sent
+    }
+
+    @Test
+    fun `guards against bytes of another sender that end the exchange`() {
+        val whole = encodeStatus(status("a", 4))
+        val cases = listOf("", "[]", "null", "{}", "{\"host\":1}", "\u0000\u0001", String(whole).replace("\"seq\":4", "\"seq\":\"x\""))
+        cases.forAll { decodeStatus(it.toByteArray()) shouldBe null }
+        (1 until whole.size).toList().forAll { decodeStatus(whole.copyOf(it)) shouldBe null }
+    }
+}
--- /dev/null
+++ b/metering/src/test/kotlin/org/hickorytiller/metering/WindowReportsTest.kt
@@ -0,0 +1,65 @@
+package org.hickorytiller.metering
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.shouldBe
+import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.mesh.WindowNumber
+
+class WindowReportsTest : AnnotationSpec() {
+    private val customer = CustomerId("c")
+
+    private fun counters(run: String = "own") = UsageCounters(ProcessId(run), windowMs = 5_000)
+
+    @Test
+    fun `guards against counts that are lost with their host or counted twice`() {
+        val first = counters("a")
+        val second = counters("b")
+        repeat(3) { first.add(customer, 12_000) }
+        second.add(customer, 13_000)
+        repeat(2) { second.take(ProcessId("a"), first.toShare(13_000)) }
+        second.total(WindowNumber(2)) shouldBe mapOf(customer to 4L)
+        second.take(ProcessId("a"), mapOf(WindowNumber(2) to mapOf(customer to 1L)))
+        second.total(WindowNumber(2)) shouldBe mapOf(customer to 4L)
+    }
+
+    @Test
+    fun `guards against a window that is fixed before its last counts have come`() {
+        val reports = WindowReports(counters())
+        reports.hasUnfixed(wallMs = 15_000) shouldBe true
+        reports.toRecord(wallMs = 16_400).keys.contains(WindowNumber(2)) shouldBe false
+        reports.toRecord(wallMs = 16_500).keys shouldContain WindowNumber(2)
+    }
+
+    @Test
+    fun `guards against two reports of one window with different figures`() {
+        val counters = counters()
+        val reports = WindowReports(counters)
+        counters.add(customer, 11_000)
+        val fixed = reports.toRecord(wallMs = 17_000)
+        reports.recorded(fixed)
+        counters.add(customer, 11_500)
+        reports.recorded(mapOf(WindowNumber(2) to mapOf(customer to 9L)))
+        reports.toRecord(wallMs = 18_000)[WindowNumber(2)] shouldBe mapOf(customer to 1L)
+        reports.toSend(wallMs = 18_000).toMap()[WindowNumber(2)] shouldBe mapOf(customer to 1L)
+    }
+
+    @Test
+    fun `guards against figures that are sent before they are on the log`() {
+        val reports = WindowReports(counters())
+        reports.toRecord(wallMs = 17_000)
+        reports.toSend(wallMs = 17_000).shouldBeEmpty()
+    }
+
+    @Test
+    fun `guards against a successor that does not repeat what was not acknowledged`() {
+        val figures = mapOf(WindowNumber(1) to mapOf(customer to 5L), WindowNumber(2) to emptyMap())
+        val successor = WindowReports(counters("next"))
+        successor.recorded(figures)
+        successor.toSend(wallMs = 17_000).map { it.first } shouldBe listOf(WindowNumber(1), WindowNumber(2))
+        successor.acknowledged(WindowNumber(1))
+        successor.toSend(wallMs = 17_000).map { it.first } shouldBe listOf(WindowNumber(2))
+    }
+}
--- /dev/null
+++ b/relay/src/test/kotlin/org/hickorytiller/relay/RetryAllowanceTest.kt
@@ -0,0 +1,39 @@
+package org.hickorytiller.relay
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.shouldBe
+import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.TimeMs
+import kotlin.random.Random
+
+class RetryAllowanceTest : AnnotationSpec() {
+    @Test
+    fun `guards against repeats beyond the shared bound in any window`() {
+        (1L..30L).forEach { seed ->
+            val random = Random(seed)
+            var nowMs = 0L
+            val allowance = RetryAllowance({ TimeMs(nowMs) }, RetryRules(ratio = 0.15, slack = 3, windowMs = 10_000))
+            val pool = PoolId("p")
+            val requests = mutableListOf<Long>()
+            val repeats = mutableListOf<Long>()
+            repeat(2_000) {
+                nowMs += random.nextLong(30)
+                allowance.requested(pool)
+                requests += nowMs
+                if (random.nextBoolean() && allowance.take(pool)) repeats += nowMs
+                val from = nowMs - 10_000
+                // The users' bound is a fifth of the requests; the allowance is taken when more may have been in the window.
+                repeats.count { it >= from }.toDouble() shouldBeLessThanOrEqualTo 0.2 * requests.count { it >= from } + 3
+            }
+        }
+    }
+
+    @Test
+    fun `guards against a pool that uses up the repeats of another one`() {
+        val allowance = RetryAllowance({ TimeMs(0) }, RetryRules(ratio = 0.0, slack = 1, windowMs = 10_000))
+        allowance.take(PoolId("a")) shouldBe true
+        allowance.take(PoolId("a")) shouldBe false
+        allowance.take(PoolId("b")) shouldBe true
+    }
+}
--- /dev/null
+++ b/scaling/src/test/kotlin/org/hickorytiller/scaling/FleetPlannerTest.kt
@@ -0,0 +1,97 @@
+package org.hickorytiller.scaling
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.BackendServerState
+import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.TimeMs
+import org.hickorytiller.routes.PoolSpec
+import org.hickorytiller.routes.ScalingSpec
+import java.net.InetSocketAddress
+
+class FleetPlannerTest : AnnotationSpec() {
+    private var nowMs = 0L
+    private val clock = { TimeMs(nowMs) }
+    private val domains = listOf("a", "b", "c", "d").map(::FailureDomain)
+    private val pool =
+        PoolSpec(
+            PoolId("engines"),
+            engine = null,
+            ScalingSpec(min = 1, max = 7, bootDelayMs = 4_000, reclaimablePrice = 0.18, domains.associateWith { 1.0 }),
+        )
+
+    private fun servers(perDomain: Int, reclaimable: Boolean) = domains.flatMap { domain ->
+        (1..perDomain).map {
+            BackendServer(
+                BackendServerId("$domain$it$reclaimable"),
+                pool.id,
+                InetSocketAddress("127.0.0.1", 1),
+                domain,
+                BackendServerState.RUNNING,
+                64,
+                reclaimable,
+            )
+        }
+    }
+
+    private fun List<FleetOrder>.total(reclaimable: Boolean) = filter { it.part.isReclaimable == reclaimable }.sumOf { it.count }
+
+    @Test
+    fun `guards against a plan that the loss of one failure domain breaks`() {
+        listOf(0, 40, 80, 150, 200).forAll { inFlight ->
+            val plan = FleetPlanner(clock).plan(FleetView(pool, servers(3, true), inFlight))
+            val byDomain = plan.filter { it.part.isReclaimable }.associate { it.part.domain to it.count }
+            val survivors = byDomain.values.sum() - byDomain.values.max()
+            survivors shouldBeGreaterThanOrEqual minOf((inFlight + 9) / 10, 21)
+        }
+    }
+
+    @Test
+    fun `guards against servers at the full price while reclaimable ones are to be had`() {
+        FleetPlanner(clock).plan(FleetView(pool, servers(3, true), inFlight = 100)).total(reclaimable = false) shouldBe 0
+        FleetPlanner(clock).plan(FleetView(pool, emptyList(), inFlight = 100)).total(reclaimable = false) shouldBe 0
+    }
+
+    @Test
+    fun `guards against demand that nobody serves when no reclaimable server is to be had`() {
+        val planner = FleetPlanner(clock)
+        domains.forEach(planner::refused)
+        planner.plan(FleetView(pool, emptyList(), inFlight = 100)).total(reclaimable = false) shouldBe 10
+        planner.plan(FleetView(pool, emptyList(), inFlight = 1_000)).total(reclaimable = false) shouldBeLessThanOrEqual 28
+        nowMs += 3_001
+        planner.plan(FleetView(pool, emptyList(), inFlight = 100)).total(reclaimable = true) shouldBeGreaterThanOrEqual 10
+    }
+
+    @Test
+    fun `guards against orders that go up and down with every wave`() {
+        val planner = FleetPlanner(clock)
+        planner.plan(FleetView(pool, servers(3, true), inFlight = 150)).total(reclaimable = true) shouldBe 20
+        nowMs += 11_000
+        planner.plan(FleetView(pool, servers(5, true), inFlight = 10)).total(reclaimable = true) shouldBe 20
+        nowMs += 2_000
+        planner.plan(FleetView(pool, servers(5, true), inFlight = 10)).total(reclaimable = true) shouldBe 12
+    }
+
+    @Test
+    fun `guards against an order that is sent again while it is carried out, and against one that got lost`() {
+        val book = OrderBook(clock)
+        val order = FleetOrder(FleetPart(pool.id, domains[0], isReclaimable = true), 3)
+        book.toSend(listOf(order)) { 0 } shouldBe listOf(order)
+        book.taken(order)
+        nowMs += 7_999
+        book.toSend(listOf(order)) { 0 }.shouldBeEmpty()
+        nowMs += 1
+        book.toSend(listOf(order)) { 0 } shouldBe listOf(order)
+        book.toSend(listOf(order)) { 3 }.shouldBeEmpty()
+        book.toSend(listOf(order.copy(count = 4))) { 3 } shouldBe listOf(order.copy(count = 4))
+        book.clear()
+        book.toSend(listOf(order)) { 3 } shouldBe listOf(order)
+    }
+}
--- /dev/null
+++ b/standins/src/main/kotlin/org/hickorytiller/standins/PlatformReplicaStandIn.kt
@@ -0,0 +1,117 @@
+/**
+ * Stand-in of one of the users' replicas. It answers as their protocol says, and misbehaves on demand in the ways that
+ * the protocol names.
+ */
+package org.hickorytiller.standins
+
+import io.netty.channel.EventLoopGroup
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import org.hickorytiller.http.Headers
+import org.hickorytiller.http.HttpLimits
+import org.hickorytiller.http.HttpServer
+import org.hickorytiller.http.HttpStatus
+import org.hickorytiller.http.RequestHead
+import org.hickorytiller.http.ServerConnection
+import java.net.InetSocketAddress
+
+/** What the replica does with the next request. */
+enum class ReplicaFault {
+    /** Says that it has not run the request. */
+    SHED,
+
+    /** Runs the request and closes the connection without an answer. */
+    LOSE_ANSWER,
+
+    /** Sends an answer to another request before its own. */
+    LATE_ANSWER_FIRST,
+
+    /** Closes the connection in the middle of an event or of the body. */
+    TORN,
+}
+
+/** A request that the replica ran. */
+class ReplicaRun(val head: RequestHead, val body: ByteArray)
+
+/** The replica called [id]. Confined to one event loop. */
+class PlatformReplicaStandIn(private val id: String, private val events: Int = 4, private val eventGapMs: Long = 1) {
+    /** Faults of the next requests, one each. */
+    val faults = ArrayDeque<ReplicaFault>()
+
+    /** All requests that the replica began to run. */
+    val runs = mutableListOf<ReplicaRun>()
+
+    /** Starts serving on [address]. */
+    fun start(group: EventLoopGroup, scope: CoroutineScope, address: InetSocketAddress): HttpServer =
+        HttpServer.start(group, scope, address, HttpLimits(), ::serve)
+
+    private suspend fun serve(connection: ServerConnection) {
+        while (true) {
+            val head = connection.receive().getOrNull() ?: return
+            val body = connection.receiveBody().getOrNull() ?: return
+            if (!answer(connection, head, body)) return
+        }
+    }
+
+    private suspend fun answer(connection: ServerConnection, head: RequestHead, body: ByteArray): Boolean {
+        val expected = head.headers["Expect-Instance"]
+        val requestId = head.headers["Request-Id"].orEmpty()
+        val fault = faults.removeFirstOrNull()
+        if (expected != null && expected != id) {
+            val headers = Headers.of("Request-Id" to requestId, "Instance-Id" to id)
+            return connection.respond(HttpStatus.MISDIRECTED_REQUEST, headers, ByteArray(0))
+        }
+        if (fault == ReplicaFault.SHED) {
+            val headers = Headers.of("Request-Id" to requestId, "Not-Executed" to "1")
+            return connection.respond(HttpStatus.SERVICE_UNAVAILABLE, headers, ByteArray(0))
+        }
+        runs += ReplicaRun(head, body)
+        if (fault == ReplicaFault.LOSE_ANSWER) return false
+        if (fault ==
+            ReplicaFault.LATE_ANSWER_FIRST
+        ) {
+            connection.respond(HttpStatus.OK, signed("another"), "stray".toByteArray())
+        }
+        val isStream = head.headers["Token-Usage"] != null
+        return if (isStream) stream(connection, head, requestId, fault) else whole(connection, requestId, fault)
+    }
+
+    private suspend fun whole(connection: ServerConnection, requestId: String, fault: ReplicaFault?): Boolean {
+        if (fault !=
+            ReplicaFault.TORN
+        ) {
+            return connection.respond(HttpStatus.OK, signed(requestId), "answer of $id".toByteArray())
+        }
+        connection.startResponse(HttpStatus.OK, signed(requestId))
+        connection.writeChunk("answer".toByteArray())
+        connection.flush()
+        return false
+    }
+
+    private suspend fun stream(
+        connection: ServerConnection,
+        head: RequestHead,
+        requestId: String,
+        fault: ReplicaFault?,
+    ): Boolean {
+        val after = head.headers["Last-Event-Id"]?.toInt() ?: 0
+        connection.startResponse(HttpStatus.OK, signed(requestId))
+        for (event in after + 1..events) {
+            if (fault == ReplicaFault.TORN && event == TORN_EVENT) {
+                connection.writeChunk("id: $event\nda".toByteArray())
+                connection.flush()
+                return false
+            }
+            connection.writeChunk("id: $event\ndata: t$event\n\n".toByteArray())
+            delay(eventGapMs)
+        }
+        return connection.endResponse()
+    }
+
+    private fun signed(requestId: String) =
+        Headers.of("Request-Id" to requestId, "Response-Signature" to "signature-$id", "Keep-Alive" to "timeout=5")
+
+    private companion object {
+        const val TORN_EVENT = 3
+    }
+}
