--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -37,8 +37,12 @@
 import java.net.InetSocketAddress
 import java.util.UUID
 
-/** A daemon process. */
-internal class Daemon(private val settings: DaemonSettings, private val loop: EventLoop) {
+/** A daemon process; [endProcess] is called when it cannot go on. */
+internal class Daemon(
+    private val settings: DaemonSettings,
+    private val loop: EventLoop,
+    private val endProcess: EndProcess,
+) {
     private val bounds = settings.bounds
     private val process = ProcessId(UUID.randomUUID().toString().take(RUN_ID_CHARS))
     private val clock = monotonicClock
@@ -107,11 +111,12 @@
         serve(listen.readiness, readiness(READINESS_PATH, ::takesCallers))
         serve(listen.directory, resource(DIRECTORY_PATH, "application/json", ::directoryAnswer))
         serve(listen.metrics, resource("/metrics", DaemonMetrics.CONTENT_TYPE, metrics::text))
-        scope.launch { configuration.run() }
-        scope.launch { servers.run() }
         scope.launch { findPeers() }
-        scope.launch { mesh.run() }
-        dutyTask?.let { scope.launch { it.run() } }
+        val tasks = EssentialTasks(scope, endProcess)
+        tasks.start("configuration") { configuration.run() }
+        tasks.start("servers") { servers.run() }
+        tasks.start("mesh") { mesh.run() }
+        dutyTask?.let { tasks.start("duties") { it.run() } }
         metrics.gauge("hickory_in_flight", "Requests in flight") { inFlight.count.toDouble() }
         metrics.gauge("hickory_peers", "Hosts that are alive beside this one") { peers.alive().size.toDouble() }
         log.info { "event=started host=${settings.host} run=$process domain=${settings.failureDomain}" }
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Main.kt
@@ -13,6 +13,7 @@
 /** Names the settings file when no argument does. */
 private const val SETTINGS_VARIABLE = "HICKORYTILLER_CONFIG"
 
+private const val LAST_LINES_MS = 300L
 private const val USAGE =
     "usage: hickory-daemon [SETTINGS.toml | --warm-up]; without an argument, $SETTINGS_VARIABLE names the file"
 
@@ -30,7 +31,7 @@
     val settings = DaemonSettings.read(readText(path)).getOrElse { faults ->
         fail(faults.joinToString("\n") { "$path: $it" })
     }
-    val daemon = Daemon(settings, EventLoop())
+    val daemon = Daemon(settings, EventLoop(), ::endFailed)
     daemon.start()
     Runtime.getRuntime().addShutdownHook(Thread({ stop(daemon) }, "stop"))
     runBlocking { daemon.ended.await() }
@@ -43,6 +44,14 @@
     Runtime.getRuntime().halt(0)
 }
 
+/** The log's thread gets a moment for the last lines. */
+private fun endFailed() {
+    Thread({
+        Thread.sleep(LAST_LINES_MS)
+        Runtime.getRuntime().halt(1)
+    }, "end").start()
+}
+
 private fun readText(path: String): String = try {
     File(path).readText()
 } catch (e: IOException) {
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/WarmUp.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/WarmUp.kt
@@ -24,7 +24,7 @@
 internal fun warmUp() {
     val settings = warmUpSettings()
     val loop = EventLoop()
-    Daemon(settings, loop).start()
+    Daemon(settings, loop) { }.start()
     runBlocking {
         withContext(loop.scope.coroutineContext) {
             val client = HttpClient(loop.group, HttpLimits())
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonWorld.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonWorld.kt
@@ -50,7 +50,7 @@
                 dutyServer.address,
                 BoundSettings(2_600, 8_000, 3_000, 1_000, 20, 56, 10_000, 5_000),
             )
-        daemon = Daemon(settings, loop).also { it.start() }
+        daemon = Daemon(settings, loop) { }.also { it.start() }
         await { call(settings.listen.readiness, RequestHead("GET", "/ready")).status == 200 }
         await { replicas.isNotEmpty() && post("/once/x", "warm-up", "key-1").status == 200 }
     }
