--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/CallerTask.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/CallerTask.kt
@@ -101,7 +101,6 @@
         try {
             work.await()
         } catch (_: CancellationException) {
-            logEnd(request, RelayOutcome(OutcomeReason.CALLER_GONE, Verdict.MAY_HAVE_RUN, false, 0, null, null), 0)
             false
         } finally {
             watch.cancel()
@@ -172,6 +171,9 @@
         respondError(connection, status, fault.name.lowercase(), Verdict.NOT_RUN)
     }
 
+    /** Records where [request] stood when its caller left. */
+    fun abandoned(request: RelayRequest, outcome: RelayOutcome) = logEnd(request, outcome, status = 0)
+
     private fun logEnd(request: RelayRequest, outcome: RelayOutcome, status: Int) {
         val tookMs = clock() - request.receivedAt
         metrics.ended(request.route.id.value, outcome.reason.code, tookMs, outcome.firstByteMs)
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -41,6 +41,7 @@
 internal class Daemon(
     private val settings: DaemonSettings,
     private val loop: EventLoop,
+    readSettings: ReadSettings,
     private val endProcess: EndProcess,
 ) {
     private val bounds = settings.bounds
@@ -71,6 +72,7 @@
                     metrics.attemptFailed(failure.code)
                     log.info { "event=attempt_failed id=${request.id} server=$server reason=${failure.code}" }
                 },
+                onAbandoned = { request, outcome -> callers.abandoned(request, outcome) },
             ),
         )
     private val claim = ClaimId(process.value)
@@ -95,9 +97,10 @@
             leaveDirectory = mesh::announce,
             stopAccepting = { callerServer?.close() },
         )
-    private val callers =
+    private val callers: CallerTask =
         CallerTask(clock, configuration, relay, metrics, inFlight) { stopTask.isStopping }
     private var callerServer: HttpServer? = null
+    private val reload = SettingsReload(settings, readSettings, ::learnContacts)
 
     /** Completes when a planned stop has ended. */
     val ended: Deferred<Unit> get() = stopTask.ended
@@ -116,12 +119,16 @@
         tasks.start("configuration") { configuration.run() }
         tasks.start("servers") { servers.run() }
         tasks.start("mesh") { mesh.run() }
+        tasks.start("settings") { reload.run() }
         dutyTask?.let { tasks.start("duties") { it.run() } }
         metrics.gauge("hickory_in_flight", "Requests in flight") { inFlight.count.toDouble() }
         metrics.gauge("hickory_peers", "Hosts that are alive beside this one") { peers.alive().size.toDouble() }
         log.info { "event=started host=${settings.host} run=$process domain=${settings.failureDomain}" }
     }
 
+    /** Reads the settings again. May be called from any thread. */
+    fun reloadSettings() = reload.announced()
+
     /** Begins a planned stop. May be called from any thread. */
     fun beginStop() {
         loop.scope.launch { stopTask.stop() }
@@ -139,8 +146,11 @@
         return DutyTask(settings.host, claim, clock, ::trueWallMs, LeaseStore(store), lease, peers, duties)
     }
 
+    private fun learnContacts(contacts: List<InetSocketAddress>) =
+        contacts.forEach { peers.learn(InetSocketAddress(it.address, settings.listen.mesh.port)) }
+
     private suspend fun findPeers() {
-        settings.contacts.forEach { peers.learn(InetSocketAddress(it.address, settings.listen.mesh.port)) }
+        learnContacts(settings.contacts)
         mesh.announce()
         registry.register(settings.host, settings.listen.mesh)
             .onLeft { log.warn { "event=registration_failed reason=${it.name.lowercase()}" } }
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Main.kt
@@ -1,9 +1,13 @@
 /** Entry point of `hickory-daemon`. */
 package org.hickorytiller.daemon
 
+import arrow.core.Either
 import arrow.core.getOrElse
+import arrow.core.left
 import kotlinx.coroutines.runBlocking
+import org.hickorytiller.core.SettingsFault
 import org.hickorytiller.http.EventLoop
+import sun.misc.Signal
 import java.io.File
 import java.io.FileDescriptor
 import java.io.FileOutputStream
@@ -31,8 +35,10 @@
     val settings = DaemonSettings.read(readText(path)).getOrElse { faults ->
         fail(faults.joinToString("\n") { "$path: $it" })
     }
-    val daemon = Daemon(settings, EventLoop(), ::endFailed)
+    val daemon = Daemon(settings, EventLoop(), { readSettings(path) }, ::endFailed)
     daemon.start()
+    // Without a handler SIGHUP would end the JVM.
+    Signal.handle(Signal("HUP")) { daemon.reloadSettings() }
     Runtime.getRuntime().addShutdownHook(Thread({ stop(daemon) }, "stop"))
     runBlocking { daemon.ended.await() }
 }
@@ -52,10 +58,10 @@
     }, "end").start()
 }
 
-private fun readText(path: String): String = try {
-    File(path).readText()
+private fun readSettings(path: String): Either<List<SettingsFault>, DaemonSettings> = try {
+    DaemonSettings.read(File(path).readText())
 } catch (e: IOException) {
-    fail("$path: ${e.message}")
+    listOf(SettingsFault("", "cannot be read: ${e.message}")).left()
 }
 
 private fun fail(message: String): Nothing {
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/WarmUp.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/WarmUp.kt
@@ -4,6 +4,7 @@
  */
 package org.hickorytiller.daemon
 
+import arrow.core.right
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
@@ -24,7 +25,7 @@
 internal fun warmUp() {
     val settings = warmUpSettings()
     val loop = EventLoop()
-    Daemon(settings, loop) { }.start()
+    Daemon(settings, loop, { settings.right() }) { }.start()
     runBlocking {
         withContext(loop.scope.coroutineContext) {
             val client = HttpClient(loop.group, HttpLimits())
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonSettingsTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonSettingsTest.kt
@@ -1,10 +1,15 @@
 package org.hickorytiller.daemon
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.inspectors.forAll
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
+import org.hickorytiller.core.SettingsFault
 import java.io.File
+import java.net.InetSocketAddress
 
 class DaemonSettingsTest : AnnotationSpec() {
     /** The template as the platform fills it in. */
@@ -51,4 +56,20 @@
             faults.joinToString("\n") shouldContain message
         }
     }
+
+    @Test
+    fun `guards against a faulty file that changes a running process, and against contacts that are not taken`() {
+        val first = DaemonSettings.read(text).getOrNull()!!
+        var next: Either<List<SettingsFault>, DaemonSettings> = first.right()
+        val taken = mutableListOf<List<InetSocketAddress>>()
+        val reload = SettingsReload(first, { next }) { taken += it }
+        reload.reload(isAnnounced = true)
+        next = listOf(SettingsFault("host", "missing")).left()
+        reload.reload(isAnnounced = true)
+        taken.size shouldBe 0
+        next = first.copy(contacts = emptyList()).right()
+        reload.reload(isAnnounced = false)
+        reload.reload(isAnnounced = false)
+        taken shouldBe listOf(emptyList())
+    }
 }
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonWorld.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonWorld.kt
@@ -1,5 +1,6 @@
 package org.hickorytiller.daemon
 
+import arrow.core.right
 import com.fasterxml.jackson.databind.node.ObjectNode
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.runBlocking
@@ -50,7 +51,7 @@
                 dutyServer.address,
                 BoundSettings(2_600, 8_000, 3_000, 1_000, 20, 56, 10_000, 5_000),
             )
-        daemon = Daemon(settings, loop) { }.also { it.start() }
+        daemon = Daemon(settings, loop, { settings.right() }) { }.also { it.start() }
         await { call(settings.listen.readiness, RequestHead("GET", "/ready")).status == 200 }
         await { replicas.isNotEmpty() && post("/once/x", "warm-up", "key-1").status == 200 }
     }
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -6,6 +6,7 @@
 package org.hickorytiller.relay
 
 import arrow.core.getOrElse
+import kotlinx.coroutines.CancellationException
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.Clock
@@ -39,8 +40,11 @@
     val maxUnreachable: Int = 4,
 )
 
+/** Told where a request stood when it was cancelled because its caller has left. */
+typealias OnAbandoned = (RelayRequest, RelayOutcome) -> Unit
+
 /** What the relay tells the rest of the process. */
-class RelayEvents(val onRun: OnRun, val onAttemptFailed: OnAttemptFailed)
+class RelayEvents(val onRun: OnRun, val onAttemptFailed: OnAttemptFailed, val onAbandoned: OnAbandoned)
 
 /** Relays requests of one host. Confined to the event loop. */
 class Relay(
@@ -75,7 +79,12 @@
         suspend fun toEnd(): RelayOutcome {
             retries.requested(request.pool)
             var ended: RelayOutcome? = null
-            while (ended == null) ended = oneMore()
+            try {
+                while (ended == null) ended = oneMore()
+            } catch (e: CancellationException) {
+                events.onAbandoned(request, outcome(OutcomeReason.CALLER_GONE))
+                throw e
+            }
             return ended
         }
 
--- a/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
+++ b/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
@@ -7,6 +7,10 @@
 import io.kotest.inspectors.forAll
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.awaitCancellation
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
@@ -29,6 +33,7 @@
     private val pool = PoolId("pool")
     private val domain = FailureDomain("a")
     private val attempts = mutableListOf<Attempt>()
+    private val abandoned = mutableListOf<RelayOutcome>()
     private val passed = StringBuilder()
     private var ended = 0
     private var released = 0
@@ -62,7 +67,7 @@
                 open(queue.removeFirst())
             },
             RetryAllowance(clock, RetryRules(ratio = 0.0, slack = slack, windowMs = 10_000)),
-            RelayEvents(onRun = { run++ }, onAttemptFailed = { _, _, _ -> }),
+            RelayEvents(onRun = { run++ }, onAttemptFailed = { _, _, _ -> }, onAbandoned = { _, outcome -> abandoned += outcome }),
         )
     }
 
@@ -110,6 +115,7 @@
     @BeforeEach
     fun reset() {
         attempts.clear()
+        abandoned.clear()
         passed.clear()
         ended = 0
         released = 0
@@ -238,4 +244,18 @@
         outcome.reason shouldBe OutcomeReason.CALLER_GONE
         released shouldBe 1
     }
+
+    @Test
+    fun `guards against an abandoned request whose server nobody can tell afterwards`() = runBlocking {
+        val reached = CompletableDeferred<Unit>()
+        val waiting = AnswerSink(sink.whole, sink.begin, { reached.complete(Unit).let { awaitCancellation() } }, sink.end)
+        val scripts = listOf(Script.Answers(200, listOf(events(1))))
+        val work = launch { relay(scripts).run(request(AnswerForm.STREAM, repeatable = true), waiting) }
+        reached.await()
+        work.cancelAndJoin()
+        abandoned.single().reason shouldBe OutcomeReason.CALLER_GONE
+        abandoned.single().server shouldBe attempts.single().server.id
+        abandoned.single().sends shouldBe 1
+        released shouldBe 1
+    }
 }
