--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Main.kt
@@ -32,7 +32,7 @@
     if (args.singleOrNull() == "--warm-up") return warmUp()
     val path = args.firstOrNull() ?: System.getenv(SETTINGS_VARIABLE)
     if (path == null || args.size > 1) fail(USAGE)
-    val settings = DaemonSettings.read(readText(path)).getOrElse { faults ->
+    val settings = readSettings(path).getOrElse { faults ->
         fail(faults.joinToString("\n") { "$path: $it" })
     }
     val daemon = Daemon(settings, EventLoop(), { readSettings(path) }, ::endFailed)
