--- a/http/src/test/kotlin/org/hickorytiller/http/ServerConnectionTest.kt
+++ b/http/src/test/kotlin/org/hickorytiller/http/ServerConnectionTest.kt
@@ -25,11 +25,12 @@
         lingerTimeoutMs = 300,
         maxConnections = 20,
     )
-    private val server =
-        HttpServer.start(loop.group, loop.scope, InetSocketAddress("127.0.0.1", 0), limits) { connection ->
-            var served = true
-            while (served) served = serveOne(connection)
-        }
+    private val server = start(limits)
+
+    private fun start(limits: HttpLimits) = HttpServer.start(loop.group, loop.scope, InetSocketAddress("127.0.0.1", 0), limits) { connection ->
+        var served = true
+        while (served) served = serveOne(connection)
+    }
 
     @AfterAll
     fun stop() {
@@ -55,20 +56,25 @@
     }
 
     /** Sends [input] and returns everything that comes back until the server closes or is quiet for a while. */
-    private fun exchange(input: String, halfClose: Boolean = false, quietMs: Int = 700): String = Socket("127.0.0.1", server.address.port).use { socket ->
-        socket.soTimeout = quietMs
+    private fun exchange(input: String, halfClose: Boolean = false, quietMs: Int = 700, to: HttpServer = server): String = Socket("127.0.0.1", to.address.port).use { socket ->
         socket.getOutputStream().write(input.toByteArray(Charsets.ISO_8859_1))
         if (halfClose) socket.shutdownOutput()
-        readAll(socket)
+        readAll(socket, quietMs)
     }
 
-    private fun readAll(socket: Socket): String {
+    /**
+     * Reads until the server closes or is quiet for [quietMs] after its first byte. The first byte may take longer on a
+     * machine under load, on which it was seen to take over a second; no answer at all within [ANSWER_MS] is a hang.
+     */
+    private fun readAll(socket: Socket, quietMs: Int = 700): String {
         val received = StringBuilder()
         val buffer = ByteArray(65_536)
+        socket.soTimeout = ANSWER_MS
         try {
             while (true) {
                 val count = socket.getInputStream().read(buffer)
                 if (count < 0) break
+                socket.soTimeout = quietMs
                 received.append(String(buffer, 0, count, Charsets.ISO_8859_1))
             }
         } catch (_: SocketTimeoutException) {
@@ -183,7 +189,6 @@
     @Test
     fun `guards against a large answer that is cut by the close after it`() {
         Socket("127.0.0.1", server.address.port).use { socket ->
-            socket.soTimeout = 2_000
             socket.getOutputStream().write("GET /large HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n".toByteArray())
             Thread.sleep(100)
             readAll(socket).substringAfter("\r\n\r\n").length shouldBe 8_000_000
@@ -193,10 +198,9 @@
     @Test
     fun `guards against a peer that does not read and holds the connection`() {
         Socket("127.0.0.1", server.address.port).use { socket ->
-            socket.soTimeout = 2_000
             socket.getOutputStream().write("GET /large HTTP/1.1\r\nHost: x\r\n\r\n".toByteArray())
             Thread.sleep(1_000)
-            readAll(socket).length shouldBeLessThan 8_000_000
+            readAll(socket, quietMs = 2_000).length shouldBeLessThan 8_000_000
         }
     }
 
@@ -217,12 +221,19 @@
 
     @Test
     fun `guards against a bad connection that harms another one`() {
-        Socket("127.0.0.1", server.address.port).use { good ->
-            good.soTimeout = 700
+        // The good request stays open for as long as the bad one takes, so its own time must not run out meanwhile.
+        val patient = start(limits.copy(bodyTimeoutMs = ANSWER_MS.toLong()))
+        Socket("127.0.0.1", patient.address.port).use { good ->
             good.getOutputStream().write("POST /good HTTP/1.1\r\nHost: x\r\nContent-Length: 4\r\nConnection: close\r\n\r\nab".toByteArray())
-            exchange("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", quietMs = 100)
+            val bad = exchange("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", to = patient)
+            bad shouldContain "MALFORMED"
             good.getOutputStream().write("cd".toByteArray())
             readAll(good) shouldContain "/good 4"
         }
+        patient.close()
+    }
+
+    private companion object {
+        const val ANSWER_MS = 10_000
     }
 }
