--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/LineLog.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/LineLog.kt
@@ -18,9 +18,6 @@
     private val lines = ArrayBlockingQueue<String>(capacity)
     private val dropped = AtomicLong()
 
-    /** Number of lines that were dropped so far. */
-    val droppedLines: Long get() = dropped.get()
-
     override fun log(loggingEvent: KLoggingEvent) {
         val level = loggingEvent.level.name.lowercase()
         val line = "wallMs=${loggingEvent.timestamp} level=$level ${loggingEvent.message}\n"
--- a/routes/src/main/kotlin/org/hickorytiller/routes/RouteTable.kt
+++ b/routes/src/main/kotlin/org/hickorytiller/routes/RouteTable.kt
@@ -23,10 +23,6 @@
         }
     private val byKey: Map<String, Customer> =
         configuration.customers.flatMap { customer -> customer.keys.map { it to customer } }.toMap()
-    private val pools: Map<PoolId, PoolSpec> = configuration.pools.associateBy { it.id }
-
-    /** The pool called [id]; null if the configuration does not name it. */
-    fun pool(id: PoolId): PoolSpec? = pools[id]
 
     /** Resolves a request for [path] at [host] (with or without a port) that came with [key]. */
     fun resolve(host: String, path: String, key: String?): Resolution {
