Refuse a request that has crashed three servers, on every host

The router had CrashSuspects for this, inside its own dispatcher.

Change: CrashSuspects, its probe and the fingerprint move to a slice of their own, `quarantine`, which both front ends use. The relay records what is in flight, probes a server after a lost connection, keeps the probe's connection, and refuses a quarantined request as "not run" (503, to come back in 60 s). Hosts tell each other the crashes that they saw, since a caller may go to another host each time; a crash names the run of a server, which may start again under its id.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/CallerTask.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/CallerTask.kt
@@ -18,6 +18,7 @@
 import org.hickorytiller.http.errorBody
 import org.hickorytiller.platform.CallerFields
 import org.hickorytiller.platform.decodeCaller
+import org.hickorytiller.quarantine.quickFingerprint
 import org.hickorytiller.relay.AnswerSink
 import org.hickorytiller.relay.ForwardedCall
 import org.hickorytiller.relay.OutcomeReason
@@ -85,6 +86,7 @@
                         resumeAfter = fields.resumeAfter,
                         receivedAt = receivedAt,
                         deadline = receivedAt + waitMs,
+                        fingerprint = quickFingerprint(resolution.customer?.id, head.target, body),
                     )
                 relayUnlessLeft(connection, request)
             }
@@ -116,7 +118,8 @@
             if (outcome.reason == OutcomeReason.STREAM_BROKEN) connection.abort()
             return outcome.reason == OutcomeReason.ANSWERED || outcome.reason == OutcomeReason.SERVER_ERROR
         }
-        return respondError(connection, status, outcome.reason.code, outcome.verdict)
+        val retryAfterS = if (outcome.reason == OutcomeReason.QUARANTINED) QUARANTINE_RETRY_AFTER_S else RETRY_AFTER_S
+        return respondError(connection, status, outcome.reason.code, outcome.verdict, retryAfterS)
     }
 
     private fun sinkOf(connection: ServerConnection) = AnswerSink(
@@ -149,9 +152,10 @@
         status: Int,
         code: String,
         verdict: Verdict,
+        retryAfterS: String = RETRY_AFTER_S,
     ): Boolean {
         val headers = mutableListOf(Headers.Field("content-type", "application/json"))
-        if (status == HttpStatus.SERVICE_UNAVAILABLE) headers += Headers.Field("Retry-After", RETRY_AFTER_S)
+        if (status == HttpStatus.SERVICE_UNAVAILABLE) headers += Headers.Field("Retry-After", retryAfterS)
         return connection.respond(status, Headers(headers), errorBody(code, code.replace('_', ' '), verdict))
     }
 
@@ -206,6 +210,9 @@
 
         // Long enough for another host or a server to take the request, short against the callers' deadlines.
         const val RETRY_AFTER_S = "0.2"
+
+        // A request that crashes servers stays refused; a caller that asks again soon gets the same answer.
+        const val QUARANTINE_RETRY_AFTER_S = "60"
         const val DRAWS = 10_007
         const val HASH_FACTOR = 31
     }
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -28,6 +28,10 @@
 import org.hickorytiller.platform.ServerExchange
 import org.hickorytiller.platform.StoreClient
 import org.hickorytiller.platform.encodeDirectory
+import org.hickorytiller.quarantine.CrashProbe
+import org.hickorytiller.quarantine.CrashSuspects
+import org.hickorytiller.quarantine.Quarantine
+import org.hickorytiller.quarantine.SuspectRules
 import org.hickorytiller.relay.Relay
 import org.hickorytiller.relay.RelayEvents
 import org.hickorytiller.relay.RetryAllowance
@@ -59,12 +63,14 @@
     private val counters = UsageCounters(process, bounds.usageWindowMs)
     private val metrics = DaemonMetrics()
     private val inFlight = InFlight()
+    private val exchange = ServerExchange(HttpClient(loop.group, SERVER_LIMITS))
+    private val suspects = CrashSuspects(SuspectRules(crashes = QUARANTINE_CRASHES), ::quarantined)
     private val relay: Relay =
         Relay(
             clock,
             settings.failureDomain,
             placement,
-            ServerExchange(HttpClient(loop.group, SERVER_LIMITS))::open,
+            exchange::open,
             RetryAllowance(clock, retryRules()),
             RelayEvents(
                 onRun = { request -> request.customer?.let { counters.add(it, trueWallMs()) } },
@@ -74,6 +80,7 @@
                 },
                 onAbandoned = { request, outcome -> callers.abandoned(request, outcome) },
             ),
+            CrashProbe(suspects, clock, exchange::acceptsConnections),
         )
     private val claim = ClaimId(process.value)
     private val lease =
@@ -81,9 +88,11 @@
     private val dutyTask: DutyTask? = settings.duties?.let(::dutyTask)
     private val status: OwnStatus =
         OwnStatus(
+            clock,
             settings,
             process,
             placement,
+            suspects,
             counters,
             peers,
             OwnBeliefs(::canServe, { dutyTask?.isHolder ?: false }, ::trueWallMs),
@@ -166,6 +175,11 @@
         counters.take(status.run, status.usage)
         placement.replacePeerLoad(peers.load())
         placement.learnParts(status.parts)
+        status.blames.forEach { suspects.adopt(it, clock()) }
+    }
+
+    private fun quarantined(quarantine: Quarantine) = log.warn {
+        "event=quarantined request=${quarantine.fingerprint} forMs=${quarantine.remainingMs}"
     }
 
     private fun takesCallers() = !stopTask.isStopping && configuration.table != null
@@ -210,6 +224,10 @@
         const val PERCENT = 100.0
         const val ASSUMED_HOSTS = 16
 
+        // Requests in flight beside the one that crashes a server are blamed once with it. A third crash under the same
+        // request without a whole answer in between is no coincidence, and callers are promised no more than three.
+        const val QUARANTINE_CRASHES = 3
+
         val CALLER_LIMITS = HttpLimits(idleTimeoutMs = 300_000, headTimeoutMs = 3_000)
         val STORE_LIMITS = HttpLimits(connectTimeoutMs = 500)
         val SERVER_LIMITS = HttpLimits(connectTimeoutMs = 400)
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/OwnStatus.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/OwnStatus.kt
@@ -1,20 +1,24 @@
 /** Builds the status that this host sends to its peers. */
 package org.hickorytiller.daemon
 
+import org.hickorytiller.core.Clock
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.mesh.HostStatus
 import org.hickorytiller.mesh.PeerTable
 import org.hickorytiller.metering.UsageCounters
 import org.hickorytiller.placement.Placement
+import org.hickorytiller.quarantine.CrashSuspects
 
 /** Beliefs of the process that its peers are told. */
 internal class OwnBeliefs(val takesCallers: () -> Boolean, val holdsDuties: () -> Boolean, val trueWallMs: () -> Long)
 
 /** Builds statuses of the run [process]. */
 internal class OwnStatus(
+    private val clock: Clock,
     private val settings: DaemonSettings,
     private val process: ProcessId,
     private val placement: Placement,
+    private val suspects: CrashSuspects,
     private val counters: UsageCounters,
     private val peers: PeerTable,
     private val beliefs: OwnBeliefs,
@@ -33,6 +37,7 @@
         wallMs = System.currentTimeMillis(),
         load = placement.ownLoad(),
         parts = placement.partsToShare(),
+        blames = suspects.blamesToShare(clock()),
         usage = counters.toShare(beliefs.trueWallMs()),
         peers = peers.alive().take(MAX_PEERS).map { it.meshAddress },
     )
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/DispatchRequest.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/DispatchRequest.kt
@@ -6,6 +6,7 @@
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.http.RequestHead
 import org.hickorytiller.http.ResponseHead
+import org.hickorytiller.quarantine.RequestFingerprint
 
 /**
  * A request to run.
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
@@ -20,8 +20,11 @@
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.core.Verdict
 import org.hickorytiller.http.HttpClient
+import org.hickorytiller.http.HttpFault
 import org.hickorytiller.http.ResponseHead
 import org.hickorytiller.http.ServerSentEvent
+import org.hickorytiller.quarantine.CrashProbe
+import org.hickorytiller.quarantine.CrashSuspects
 
 /** A request that got its whole answer. [body] is null if the answer was streamed to the caller. */
 class Completed(val head: ResponseHead, val body: ByteArray?, val attempts: Int)
@@ -49,7 +52,13 @@
     val running = RunningAttempts()
 
     private val exchangeContext = ExchangeContext(client, clock, reuseRule)
-    private val crashProbe = CrashProbe(client, suspects, clock)
+    private val crashProbe =
+        CrashProbe(suspects, clock) { server ->
+            client.connect(server.address).fold({ it != HttpFault.UNREACHABLE }, {
+                it.close()
+                true
+            })
+        }
 
     /** Runs [request] until it has its whole answer or cannot be retried. */
     suspend fun run(request: DispatchRequest, context: DispatchContext): Either<DispatchFailure, Completed> =
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/RequestFingerprint.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/RequestFingerprint.kt
@@ -2,18 +2,9 @@
 package org.hickorytiller.dispatch
 
 import org.hickorytiller.core.CustomerId
+import org.hickorytiller.quarantine.RequestFingerprint
 import java.security.MessageDigest
 
-/** Identifies what a backend server executes, so that a request which crashes servers is recognised when re-sent. */
-@JvmInline
-value class RequestFingerprint(val value: String) {
-    override fun toString() = value.take(SHOWN_DIGITS)
-
-    private companion object {
-        const val SHOWN_DIGITS = 12
-    }
-}
-
 /**
  * The fingerprint of a request. [routeOrModel] names what runs it. The `Idempotency-Key` is left out, since a caller
  * may send the same body again under a new key.
--- a/dispatch/src/test/kotlin/org/hickorytiller/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/org/hickorytiller/dispatch/DispatcherTest.kt
@@ -28,6 +28,8 @@
 import org.hickorytiller.http.HttpClient
 import org.hickorytiller.http.HttpLimits
 import org.hickorytiller.http.RequestHead
+import org.hickorytiller.quarantine.CrashSuspects
+import org.hickorytiller.quarantine.RequestFingerprint
 import java.net.InetSocketAddress
 import java.net.ServerSocket
 import kotlin.random.Random
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/HostStatus.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/HostStatus.kt
@@ -7,6 +7,7 @@
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.placement.PartNews
 import org.hickorytiller.placement.ServerLoad
+import org.hickorytiller.quarantine.Blame
 import java.net.InetSocketAddress
 
 /** Number of a usage window; window n begins n window lengths after the start of 1970. */
@@ -30,6 +31,7 @@
  * @property wallMs the sender's time of day in milliseconds since 1970
  * @property load the sender's requests in flight
  * @property parts where the sender has sent parts of prompts within the last moments
+ * @property blames crashes that the sender saw within the last moments, with the requests in flight then
  * @property usage what the sender has counted in the latest windows
  * @property peers addresses of other hosts that the sender has heard from
  */
@@ -44,6 +46,7 @@
     val wallMs: Long,
     val load: Map<BackendServerId, ServerLoad>,
     val parts: List<PartNews>,
+    val blames: List<Blame>,
     val usage: Map<WindowNumber, UsageCounts>,
     val peers: List<InetSocketAddress>,
 )
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
@@ -18,6 +18,9 @@
 import org.hickorytiller.placement.PartId
 import org.hickorytiller.placement.PartNews
 import org.hickorytiller.placement.ServerLoad
+import org.hickorytiller.quarantine.Blame
+import org.hickorytiller.quarantine.RequestFingerprint
+import org.hickorytiller.quarantine.ServerRun
 
 /** The bytes of [status]. */
 internal fun encodeStatus(status: HostStatus): ByteArray {
@@ -31,6 +34,12 @@
     }
     val parts = root.putArray("parts")
     status.parts.forEach { parts.addArray().add(it.part.value).add(it.server.value).add(it.ageMs) }
+    val blames = root.putArray("blames")
+    status.blames.forEach { blame ->
+        blames.addArray().add(
+            blame.fingerprint.value,
+        ).add(blame.server.id.value).add(blame.server.startedMs).add(blame.ageMs)
+    }
     val usage = root.putObject("usage")
     status.usage.forEach { (window, counts) -> usage.putObject(window.toString()).putCounts(counts) }
     val peers = root.putArray("peers")
@@ -60,6 +69,7 @@
     wallMs = root.whole("wall").bind(),
     load = root.path("load").entries { decodeLoad(it) }.mapKeys { BackendServerId(it.key) },
     parts = root.path("parts").map { decodePart(it) },
+    blames = root.path("blames").map { decodeBlame(it) },
     usage = root.path("usage").entries { decodeCounts(it) }.mapKeys { WindowNumber(it.key.toLongOrNull() ?: -1) },
     peers = root.path("peers").mapNotNull { parseAddress(it.asText()) },
 )
@@ -67,6 +77,11 @@
 private fun decodePart(node: JsonNode) =
     PartNews(PartId(node.path(0).asLong()), BackendServerId(node.path(1).asText()), node.path(2).asLong())
 
+private fun decodeBlame(node: JsonNode): Blame {
+    val server = ServerRun(BackendServerId(node.path(1).asText()), node.path(2).asLong())
+    return Blame(RequestFingerprint(node.path(0).asText()), server, node.path(BLAME_AGE).asLong())
+}
+
 private fun ObjectNode.putCounts(counts: UsageCounts) = counts.forEach { (customer, count) ->
     put(customer.value, count)
 }
@@ -77,3 +92,6 @@
 
 private fun <T> JsonNode.entries(decode: (JsonNode) -> T): Map<String, T> =
     properties().associate { it.key to decode(it.value) }
+
+// Position of the age in an encoded blame.
+private const val BLAME_AGE = 3
--- a/mesh/src/test/kotlin/org/hickorytiller/mesh/PeerTableTest.kt
+++ b/mesh/src/test/kotlin/org/hickorytiller/mesh/PeerTableTest.kt
@@ -13,6 +13,9 @@
 import org.hickorytiller.placement.PartId
 import org.hickorytiller.placement.PartNews
 import org.hickorytiller.placement.ServerLoad
+import org.hickorytiller.quarantine.Blame
+import org.hickorytiller.quarantine.RequestFingerprint
+import org.hickorytiller.quarantine.ServerRun
 import java.net.InetSocketAddress
 
 class PeerTableTest : AnnotationSpec() {
@@ -32,6 +35,7 @@
         wallMs,
         load = mapOf(server to ServerLoad(2, 100)),
         parts = listOf(PartNews(PartId(-7), server, 20)),
+        blames = listOf(Blame(RequestFingerprint("f"), ServerRun(server, 9), 30)),
         usage = mapOf(WindowNumber(5) to mapOf(CustomerId("c") to 3L)),
         peers = listOf(InetSocketAddress("10.0.0.9", 7_340)),
     )
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/CrashProbe.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashProbe.kt
@@ -1,26 +1,24 @@
 /** Tells the crash of a server from the loss of one connection to it. */
-package org.hickorytiller.dispatch
+package org.hickorytiller.quarantine
 
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.Clock
-import org.hickorytiller.http.HttpClient
-import org.hickorytiller.http.HttpFault
 
-internal class CrashProbe(
-    private val client: HttpClient,
-    private val suspects: CrashSuspects,
+/** Whether a server accepts a new connection. */
+typealias AcceptsConnections = suspend (BackendServer) -> Boolean
+
+/** Probes servers and records the crashes that it finds in [suspects]. */
+class CrashProbe(
+    val suspects: CrashSuspects,
     private val clock: Clock,
+    private val acceptsConnections: AcceptsConnections,
 ) {
     /**
      * Connects to [server] after a connection to it was lost. If it accepts none, the server crashed, and what was in
      * flight on it becomes suspect. Returns whether it crashed.
      */
     suspend fun probe(server: BackendServer): Boolean {
-        val fault = client.connect(server.address).fold({ it }, {
-            it.close()
-            null
-        })
-        if (fault != HttpFault.UNREACHABLE) return false
+        if (acceptsConnections(server)) return false
         suspects.crashed(server, clock())
         return true
     }
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/CrashSuspects.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashSuspects.kt
@@ -3,7 +3,7 @@
  * a suspect; a suspect is sent again only to a server without other suspects, so a second crash points at one request.
  * Pure: it is told what starts, ends and crashes, and when.
  */
-package org.hickorytiller.dispatch
+package org.hickorytiller.quarantine
 
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
@@ -13,6 +13,12 @@
 /** A refused fingerprint as routers tell each other. A duration, since clocks are not comparable between hosts. */
 data class Quarantine(val fingerprint: RequestFingerprint, val remainingMs: Long)
 
+/** One run of a server; a server may start again under the id that it had. */
+data class ServerRun(val id: BackendServerId, val startedMs: Long)
+
+/** A crash of [server] [ageMs] before the message, with the request in flight on it. */
+data class Blame(val fingerprint: RequestFingerprint, val server: ServerRun, val ageMs: Long)
+
 /** Tells the peers about a new quarantine. */
 typealias ShareQuarantine = (Quarantine) -> Unit
 
@@ -23,21 +29,26 @@
  * @property quarantineMs how long it is refused; crashes are remembered as long
  * @property domainLossMs two losses of one failure domain within this time blame no request
  * @property maxFingerprints number of fingerprints remembered; the oldest are forgotten first
+ * @property sharedMs time for which a blame is told to peers; it spans several messages
+ * @property maxShared number of blames told at a time; the oldest are left out first
  */
 data class SuspectRules(
     val crashes: Int = 2,
     val quarantineMs: Long = 600_000,
     val domainLossMs: Long = 2_000,
     val maxFingerprints: Int = 10_000,
+    val sharedMs: Long = 3_000,
+    val maxShared: Int = 64,
 )
 
 /** Suspects and quarantined fingerprints of one router. */
 class CrashSuspects(private val rules: SuspectRules = SuspectRules(), private val share: ShareQuarantine = {}) {
     private val inFlight = HashMap<BackendServerId, MutableMap<RequestFingerprint, Int>>()
     private val losses = ArrayDeque<Loss>()
-    private val crashes = LinkedHashMap<RequestFingerprint, MutableMap<BackendServerId, TimeMs>>()
+    private val crashes = LinkedHashMap<RequestFingerprint, MutableMap<ServerRun, TimeMs>>()
     private val quarantined = LinkedHashMap<RequestFingerprint, TimeMs>()
     private val evicted = HashMap<FailureDomain, TimeMs>()
+    private val recentBlames = ArrayDeque<Pair<TimeMs, Blame>>()
 
     /** Records that [request] starts on [server]. */
     fun started(server: BackendServerId, request: RequestFingerprint) {
@@ -60,7 +71,7 @@
     fun crashed(server: BackendServer, now: TimeMs) {
         val requests = inFlight.remove(server.id)?.keys ?: return
         forget(now)
-        val loss = Loss(server.id, server.failureDomain, requests, now)
+        val loss = Loss(server.run, server.failureDomain, requests, now)
         val sameDomain = losses.filter { it.domain == loss.domain && now - it.at < rules.domainLossMs }
         losses.addLast(loss)
         if (isExcused(loss, now)) return
@@ -81,7 +92,7 @@
      */
     fun mayRunOn(server: BackendServer, request: RequestFingerprint, now: TimeMs): Boolean {
         val previous = crashes[request] ?: return true
-        if (server.id in previous) return false
+        if (server.run in previous) return false
         if (losses.any { it.domain == server.failureDomain && now - it.at < rules.domainLossMs }) return false
         return inFlight[server.id].orEmpty().keys.none { it != request && isSuspect(it) }
     }
@@ -97,6 +108,25 @@
         quarantined.trim()
     }
 
+    /** Adopts a crash that a peer saw: the caller may send the same request to another host each time. */
+    fun adopt(blame: Blame, now: TimeMs) {
+        blame(blame.fingerprint, blame.server, now - blame.ageMs)
+        crashes.trim()
+    }
+
+    /** The crashes that this router saw within the last moments, for peers. */
+    fun blamesToShare(now: TimeMs): List<Blame> {
+        while (recentBlames.isNotEmpty() &&
+            now - recentBlames.first().first > rules.sharedMs
+        ) {
+            recentBlames.removeFirst()
+        }
+        return recentBlames.map { (at, blame) -> blame.copy(ageMs = now - at) }
+    }
+
+    /** Whether any fingerprint is quarantined. */
+    val hasQuarantines: Boolean get() = quarantined.isNotEmpty()
+
     /** All quarantines in force, for peers. */
     fun quarantines(now: TimeMs): List<Quarantine> =
         quarantined.map { (request, until) -> Quarantine(request, until - now) }.filter { it.remainingMs > 0 }
@@ -105,14 +135,21 @@
 
     private fun blame(loss: Loss, now: TimeMs) {
         loss.requests.forEach { request ->
-            val servers = crashes.getOrPut(request) { HashMap() }
-            servers[loss.server] = now
-            if (servers.size >= rules.crashes) quarantine(request, now)
+            blame(request, loss.server, now)
+            recentBlames.addLast(now to Blame(request, loss.server, ageMs = 0))
         }
+        while (recentBlames.size > rules.maxShared) recentBlames.removeFirst()
         crashes.trim()
     }
 
+    private fun blame(request: RequestFingerprint, server: ServerRun, at: TimeMs) {
+        val servers = crashes.getOrPut(request) { HashMap() }
+        servers[server] = at
+        if (servers.size >= rules.crashes) quarantine(request, at)
+    }
+
     private fun withdrawBlame(loss: Loss) {
+        recentBlames.removeIf { (at, blame) -> at == loss.at && blame.server == loss.server }
         loss.requests.forEach { request ->
             val servers = crashes[request] ?: return@forEach
             if (servers[loss.server] == loss.at) servers -= loss.server
@@ -139,8 +176,10 @@
         while (size > rules.maxFingerprints) remove(keys.first())
     }
 
+    private val BackendServer.run get() = ServerRun(id, startedMs)
+
     private class Loss(
-        val server: BackendServerId,
+        val server: ServerRun,
         val domain: FailureDomain,
         val requests: Set<RequestFingerprint>,
         val at: TimeMs,
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -15,6 +15,7 @@
 import org.hickorytiller.http.ResponseHead
 import org.hickorytiller.placement.Placement
 import org.hickorytiller.placement.PlacementRequest
+import org.hickorytiller.quarantine.CrashProbe
 import org.hickorytiller.routes.AnswerForm
 import java.io.ByteArrayOutputStream
 
@@ -54,8 +55,11 @@
     private val open: OpenExchange,
     private val retries: RetryAllowance,
     private val events: RelayEvents,
+    private val crashes: CrashProbe,
     private val rules: RelayRules = RelayRules(),
 ) {
+    private val suspects get() = crashes.suspects
+
     /** Runs [request] until its answer is passed on or it cannot be sent again. */
     suspend fun run(request: RelayRequest, sink: AnswerSink): RelayOutcome = Run(request, sink).toEnd()
 
@@ -91,7 +95,9 @@
         /** Sends the request once more, if it may; null if another attempt may follow. */
         private suspend fun oneMore(): RelayOutcome? {
             if (request.deadline - clock() < rules.leastTimeMs) return giveUp(OutcomeReason.DEADLINE)
-            val server = placement.choose(placementRequest()) ?: return giveUp(reasonOf(failure))
+            if (suspects.quarantineMs(request.fingerprint, clock()) != null) return giveUp(OutcomeReason.QUARANTINED)
+            val candidates = PlacementRequest(request.pool, request.prompt, hostDomain, tried)
+            val server = placement.choose(candidates) ?: return giveUp(reasonOf(failure))
             if (sends > 0 && !retries.take(request.pool)) return giveUp(reasonOf(failure))
             val end = attemptOn(server)
             tried += server.id
@@ -110,8 +116,6 @@
             return if (mayRepeat()) null else giveUp(OutcomeReason.SERVER_ERROR)
         }
 
-        private fun placementRequest() = PlacementRequest(request.pool, request.prompt, hostDomain, tried)
-
         private fun mayRepeat() = request.route.mayRepeat && sends < request.route.maxServers
 
         private fun maySendAfter(failure: ExchangeFailure): Boolean = when (failure) {
@@ -136,28 +140,36 @@
         private suspend fun attemptOn(server: BackendServer): AttemptEnd {
             last = server.id
             placement.started(server.id, request.prompt)
+            suspects.started(server.id, request.fingerprint)
             var isReading = true
             try {
                 val timeoutMs = request.deadline - clock()
                 val resumeAfter = cutter.lastId ?: request.resumeAfter
                 val attempt = Attempt(server, request, timeoutMs, answerTimeoutMs(timeoutMs), resumeAfter)
-                val answer = open(attempt).getOrElse { return failed(server, it) }
+                val answer = open(attempt).getOrElse { return lost(server, failed(server, it)) }
                 sends++
                 verdict = Verdict.RAN
                 if (firstByteMs == null) firstByteMs = clock() - request.receivedAt
                 placement.answering(server.id, request.prompt)
                 isReading = false
                 try {
-                    return pass(server, answer)
+                    return lost(server, pass(server, answer))
                 } finally {
                     answer.release()
                 }
             } finally {
                 if (isReading) placement.answering(server.id, request.prompt)
                 placement.ended(server.id)
+                suspects.ended(server.id, request.fingerprint)
             }
         }
 
+        /** Looks, while the request still counts as in flight, whether [server] has crashed under it. */
+        private suspend fun lost(server: BackendServer, end: AttemptEnd): AttemptEnd {
+            if (end.failure == ExchangeFailure.LOST) crashes.probe(server)
+            return end
+        }
+
         private fun failed(server: BackendServer, failure: ExchangeFailure): AttemptEnd {
             if (failure != ExchangeFailure.UNREACHABLE) sends++
             if (failure != ExchangeFailure.REFUSED) placement.failed(server.id)
@@ -197,7 +209,7 @@
                 serverError = answer.head to body.toByteArray()
                 return AttemptEnd(failure = null)
             }
-            placement.succeeded(server.id)
+            succeeded(server, request)
             serverError = null
             hasBegun = true
             return AttemptEnd(null, callerGone = !sink.whole(answer.head, body.toByteArray()))
@@ -219,7 +231,7 @@
                 if (!passEvents(answer.head, whole)) return AttemptEnd(null, callerGone = true)
             }
             if (cutter.isInsideEvent) return brokenOff(server, ExchangeFailure.LOST)
-            placement.succeeded(server.id)
+            succeeded(server, request)
             if (!hasBegun && !sink.begin(answer.head)) return AttemptEnd(null, callerGone = true)
             hasBegun = true
             return AttemptEnd(null, callerGone = !sink.end())
@@ -236,6 +248,11 @@
         private fun gapTimeoutMs() = if (mayRepeat()) rules.eventGapTimeoutMs else Long.MAX_VALUE
     }
 
+    private fun succeeded(server: BackendServer, request: RelayRequest) {
+        placement.succeeded(server.id)
+        suspects.completed(request.fingerprint)
+    }
+
     private fun reasonOf(failure: ExchangeFailure?): OutcomeReason = when (failure) {
         null -> OutcomeReason.NO_SERVER
         ExchangeFailure.UNREACHABLE -> OutcomeReason.UNREACHABLE
--- a/relay/src/main/kotlin/org/hickorytiller/relay/RelayOutcome.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/RelayOutcome.kt
@@ -12,6 +12,9 @@
     REFUSED("refused"),
     UNREACHABLE("unreachable"),
     LOST("lost"),
+
+    /** The request crashed several servers before. */
+    QUARANTINED("quarantined"),
     DEADLINE("deadline"),
     STREAM_BROKEN("stream_broken"),
     CALLER_GONE("caller_gone"),
--- a/relay/src/main/kotlin/org/hickorytiller/relay/RelayRequest.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/RelayRequest.kt
@@ -6,6 +6,7 @@
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.http.RequestHead
 import org.hickorytiller.placement.Prompt
+import org.hickorytiller.quarantine.RequestFingerprint
 import org.hickorytiller.routes.Route
 
 /** The caller's id of one attempt. Answers are told apart by it. */
@@ -27,6 +28,7 @@
  * @property customer null on a public route
  * @property priority a lower number is more urgent
  * @property resumeAfter last event that the caller has of an earlier stream
+ * @property fingerprint tells whether the request is the same as one that crashed servers
  */
 data class RelayRequest(
     val id: RequestId,
@@ -39,4 +41,5 @@
     val resumeAfter: EventId?,
     val receivedAt: TimeMs,
     val deadline: TimeMs,
+    val fingerprint: RequestFingerprint,
 )
--- a/router/src/main/kotlin/org/hickorytiller/router/QuarantineExchange.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/QuarantineExchange.kt
@@ -2,11 +2,11 @@
 package org.hickorytiller.router
 
 import org.hickorytiller.core.Clock
-import org.hickorytiller.dispatch.CrashSuspects
-import org.hickorytiller.dispatch.Quarantine
-import org.hickorytiller.dispatch.RequestFingerprint
 import org.hickorytiller.peering.LinkExchange
 import org.hickorytiller.peering.QuarantineNews
+import org.hickorytiller.quarantine.CrashSuspects
+import org.hickorytiller.quarantine.Quarantine
+import org.hickorytiller.quarantine.RequestFingerprint
 
 /** Quarantines of one router. Confined to the event loop. */
 internal class QuarantineExchange(private val suspects: CrashSuspects, private val clock: Clock) {
