Let two hosts read the store for all, and share the retry slack by the hosts alive

The retry slack was divided by a fixed 16 hosts, so 65 hosts sent 912 repeats in 10 s where 697 are allowed (BUDGET).

Ruled out: peers that pass on an age by their own clock, since a datagram may lie for seconds before a suspended host reads it; longer waits alone, which prove nothing until they return.

Change: two hosts read often and tell where the topics end, with the newest message of every host that they had received before they asked. A host finds its own message there and counts the age from when it sent it, by its own clock. A page of the log that was cut before the end of the topic proved freshness before; it no longer does. The slack of repeats is divided by 1.25 times the hosts alive, by 16 at least.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ConfigurationView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ConfigurationView.kt
@@ -7,11 +7,15 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
+import org.hickorytiller.core.LogOffset
 import org.hickorytiller.platform.CONFIGURATION_KEY
+import org.hickorytiller.platform.FollowRules
+import org.hickorytiller.platform.IsReader
 import org.hickorytiller.platform.KeyedFollower
 import org.hickorytiller.platform.KeyedRecord
 import org.hickorytiller.platform.KeyedUpdates
 import org.hickorytiller.platform.OPERATOR_TOPIC
+import org.hickorytiller.platform.ProofSource
 import org.hickorytiller.platform.StoreClient
 import org.hickorytiller.platform.StoreFailure
 import org.hickorytiller.platform.decodeConfiguration
@@ -19,12 +23,18 @@
 import org.hickorytiller.routes.Moment
 import org.hickorytiller.routes.RouteTable
 
+/** Told when a read of this host has proven the configuration. */
+internal typealias OnConfigurationRead = () -> Unit
+
 /** Follows the operators' topic. Confined to the event loop. */
 internal class ConfigurationView(
     store: StoreClient,
     private val proof: FreshnessProof,
     private val scope: CoroutineScope,
     private val health: DependencyHealth,
+    rules: FollowRules,
+    isReader: IsReader,
+    private val onRead: OnConfigurationRead,
 ) {
     /** The newest configuration; null until one is read. */
     var table: RouteTable? = null
@@ -32,7 +42,22 @@
 
     private var confirming: Deferred<Unit>? = null
     private val follower =
-        KeyedFollower(store, OPERATOR_TOPIC, READ_WAIT_MS, proof::now, KeyedUpdates(::apply, ::apply, ::failed))
+        KeyedFollower(
+            store,
+            OPERATOR_TOPIC,
+            rules,
+            proof::now,
+            isReader,
+            KeyedUpdates(::apply, ::apply, ::proven, ::failed),
+        )
+    private var isReadable = true
+
+    /** Where the topic ends as far as this host has read it; null until it has read it once. */
+    val end: LogOffset? get() = follower.end
+
+    /** The newest moment at which nothing newer than [table] was in force; null if nothing proves it. */
+    var provenAt: Moment? = null
+        private set
 
     /** Age of the configuration in milliseconds; null if nothing proves it. */
     val ageMs: Long? get() = proof.ageMs()
@@ -40,6 +65,9 @@
     /** Follows the topic; does not return. */
     suspend fun run(): Nothing = follower.run()
 
+    /** Takes a peer's word that the topic ended at [end] at some time after [at]. */
+    fun vouched(end: LogOffset, at: Moment) = follower.vouched(end, at)
+
     /** Whether the configuration is proven fresh; asks the store if the proof has just lapsed. */
     suspend fun isFresh(): Boolean {
         if (proof.holds()) return true
@@ -60,12 +88,18 @@
         }
     }
 
-    private fun apply(records: List<KeyedRecord>, readAt: Moment) {
+    private fun apply(records: List<KeyedRecord>) {
         health.succeeded()
-        val value = records.lastOrNull { it.key == CONFIGURATION_KEY }?.value
-        if (value != null && !accept(value)) return
-        // A store without a configuration proves nothing about keys.
-        if (table != null) proof.proven(readAt)
+        val value = records.lastOrNull { it.key == CONFIGURATION_KEY }?.value ?: return
+        isReadable = accept(value)
+    }
+
+    private fun proven(at: Moment, source: ProofSource) {
+        // A store without a configuration, or with one that cannot be read, proves nothing about keys.
+        if (table == null || !isReadable) return
+        proof.proven(at)
+        provenAt = at
+        if (source == ProofSource.OWN_READ) onRead()
     }
 
     /** Takes a configuration unless it is older than the one in force. False if it cannot be read. */
@@ -90,9 +124,6 @@
     private companion object {
         val log = KotlinLogging.logger {}
 
-        // Two reads fit into the age that a proof may have, with a fifth of it to spare.
-        const val READ_WAIT_MS = 1_500L
-
         // A request waits so long for a proof before it is refused; the store answers within 4 ms in good health.
         const val CONFIRM_TIMEOUT_MS = 250L
     }
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -17,11 +17,13 @@
 import org.hickorytiller.mesh.HostStatus
 import org.hickorytiller.mesh.Mesh
 import org.hickorytiller.mesh.PeerTable
+import org.hickorytiller.mesh.Vouch
 import org.hickorytiller.metering.UsageCounters
 import org.hickorytiller.metering.WindowReports
 import org.hickorytiller.placement.Placement
 import org.hickorytiller.platform.DIRECTORY_PATH
 import org.hickorytiller.platform.DutyClient
+import org.hickorytiller.platform.FollowRules
 import org.hickorytiller.platform.HostRegistry
 import org.hickorytiller.platform.LeaseStore
 import org.hickorytiller.platform.READINESS_PATH
@@ -56,10 +58,17 @@
     private val storeHealth = DependencyHealth("store", clock)
     private val proof =
         FreshnessProof(clock, ::wallTimeMs, FreshnessRules(bounds.keyWithdrawalMs - KEY_WITHDRAWAL_MARGIN_MS))
-    private val configuration = ConfigurationView(store, proof, loop.scope, storeHealth)
-    private val placement = Placement(clock)
-    private val servers = ServerView(store, clock, proof::now, loop.scope, placement, storeHealth)
     private val peers = PeerTable(clock, settings.host)
+    private val vouching = Vouching(settings.host, process, peers, proof::now)
+    private val followRules = FollowRules(staleMs = bounds.keyWithdrawalMs * STALE_PERCENT / PERCENT.toLong())
+    private val configuration: ConfigurationView =
+        ConfigurationView(store, proof, loop.scope, storeHealth, followRules, vouching::isReader) {
+            // Peers count the age of this read from their own last message, so it is passed on at once.
+            if (vouching.isReader()) mesh.announce()
+        }
+    private val placement = Placement(clock)
+    private val servers =
+        ServerView(store, clock, proof::now, loop.scope, placement, storeHealth, followRules, vouching::isReader)
     private val counters = UsageCounters(process, bounds.usageWindowMs)
     private val metrics = DaemonMetrics()
     private val inFlight = InFlight()
@@ -71,7 +80,7 @@
             settings.failureDomain,
             placement,
             exchange::open,
-            RetryAllowance(clock, retryRules()),
+            RetryAllowance(clock, retryRules()) { peers.alive().size + 1 },
             RelayEvents(
                 onRun = { request -> request.customer?.let { counters.add(it, trueWallMs()) } },
                 onAttemptFailed = { request, server, failure ->
@@ -95,6 +104,8 @@
             suspects,
             counters,
             peers,
+            { sequence -> vouching.sent(sequence) },
+            ::vouch,
             OwnBeliefs(::canServe, { dutyTask?.isHolder ?: false }, ::trueWallMs),
         )
     private val mesh: Mesh = Mesh(loop.group, settings.listen.mesh, peers, status::build, ::received)
@@ -176,6 +187,17 @@
         placement.replacePeerLoad(peers.load())
         placement.learnParts(status.parts)
         status.blames.forEach { suspects.adopt(it, clock()) }
+        status.vouch?.let(::vouched)
+    }
+
+    private fun vouch(): Vouch? {
+        val servers = servers.end ?: return null
+        return vouching.vouch(configuration.end ?: return null, servers, configuration.provenAt)
+    }
+
+    private fun vouched(vouch: Vouch) {
+        servers.vouched(vouch.serversEnd)
+        vouching.momentOf(vouch)?.let { configuration.vouched(vouch.configurationEnd, it) }
     }
 
     private fun quarantined(quarantine: Quarantine) = log.warn {
@@ -202,7 +224,7 @@
     // Each host keeps to its part of the common bound; with fewer hosts than assumed the bound is not used up.
     private fun retryRules() = RetryRules(
         ratio = bounds.retryRatioPercent * RETRY_PART / PERCENT,
-        slack = bounds.retrySlack / ASSUMED_HOSTS,
+        slack = bounds.retrySlack,
         windowMs = bounds.retryWindowMs,
     )
 
@@ -215,6 +237,9 @@
 
         // Callers use an answer of the directory for up to three times its lifetime.
         const val DIRECTORY_LIFETIME_MS = 1_000L
+
+        // Leaves time for a read of the own before keyed requests have to be refused.
+        const val STALE_PERCENT = 60
         const val STOP_ACCEPT_MS = 3_300L
         const val STOP_MARGIN_MS = 700L
         const val MS_PER_S = 1000.0
@@ -222,7 +247,6 @@
         // Leaves a quarter for requests that are counted in another window by the platform.
         const val RETRY_PART = 0.75
         const val PERCENT = 100.0
-        const val ASSUMED_HOSTS = 16
 
         // Requests in flight beside the one that crashes a server are blamed once with it. A third crash under the same
         // request without a whole answer in between is no coincidence, and callers are promised no more than three.
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/OwnStatus.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/OwnStatus.kt
@@ -5,6 +5,7 @@
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.mesh.HostStatus
 import org.hickorytiller.mesh.PeerTable
+import org.hickorytiller.mesh.Vouch
 import org.hickorytiller.metering.UsageCounters
 import org.hickorytiller.placement.Placement
 import org.hickorytiller.quarantine.CrashSuspects
@@ -21,6 +22,8 @@
     private val suspects: CrashSuspects,
     private val counters: UsageCounters,
     private val peers: PeerTable,
+    private val onSequence: (Long) -> Unit,
+    private val vouch: () -> Vouch?,
     private val beliefs: OwnBeliefs,
 ) {
     private var sequence = 0L
@@ -29,7 +32,7 @@
     fun build() = HostStatus(
         host = settings.host,
         run = process,
-        sequence = ++sequence,
+        sequence = (++sequence).also(onSequence),
         meshAddress = settings.listen.mesh,
         callerAddress = settings.listen.callers,
         takesCallers = beliefs.takesCallers(),
@@ -39,6 +42,7 @@
         parts = placement.partsToShare(),
         blames = suspects.blamesToShare(clock()),
         usage = counters.toShare(beliefs.trueWallMs()),
+        vouch = vouch(),
         peers = peers.alive().take(MAX_PEERS).map { it.meshAddress },
     )
 
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
@@ -8,8 +8,11 @@
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.Clock
+import org.hickorytiller.core.LogOffset
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.placement.Placement
+import org.hickorytiller.platform.FollowRules
+import org.hickorytiller.platform.IsReader
 import org.hickorytiller.platform.KeyedFollower
 import org.hickorytiller.platform.KeyedRecord
 import org.hickorytiller.platform.KeyedUpdates
@@ -25,10 +28,12 @@
 internal class ServerView(
     store: StoreClient,
     private val clock: Clock,
-    now: () -> Moment,
+    private val now: () -> Moment,
     private val scope: CoroutineScope,
     private val placement: Placement,
     private val health: DependencyHealth,
+    rules: FollowRules,
+    isReader: IsReader,
 ) {
     private val servers = HashMap<BackendServerId, BackendServer>()
     private val missingSince = HashMap<BackendServerId, TimeMs>()
@@ -36,11 +41,13 @@
         KeyedFollower(
             store,
             SERVER_TOPIC,
-            READ_WAIT_MS,
+            rules.copy(pauseMs = GATHER_MS),
             now,
+            isReader,
             KeyedUpdates(
-                onAll = { records, _ -> replaceAll(records) },
-                onChanges = { records, _ -> change(records) },
+                onAll = ::replaceAll,
+                onChanges = ::change,
+                onProof = { _, _ -> },
                 onFailure = { health.failed(it.name.lowercase()) },
             ),
         )
@@ -48,6 +55,12 @@
     /** Follows the topic; does not return. */
     suspend fun run(): Nothing = follower.run()
 
+    /** Where the topic ends as far as this host has read it; null until it has read it once. */
+    val end: LogOffset? get() = follower.end
+
+    /** Takes a peer's word that the topic ended at [end] just now. */
+    fun vouched(end: LogOffset) = follower.vouched(end, now())
+
     private fun replaceAll(records: List<KeyedRecord>) {
         health.succeeded()
         val listed = records.map { it.key }.toSet()
@@ -106,8 +119,8 @@
     private companion object {
         val log = KotlinLogging.logger {}
 
-        // A change is answered at once; the wait bounds only how late a connection that went silent is noticed.
-        const val READ_WAIT_MS = 1_500L
+        // Servers come and go many at a time, and each read is paid for. A leaving server must be known within 2 s.
+        const val GATHER_MS = 400L
 
         // Entries that lapsed during an outage are back within two seconds of its end.
         const val OUTAGE_MEMORY_MS = 4_000L
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Vouching.kt
@@ -0,0 +1,53 @@
+/**
+ * Lets a few hosts read the platform's store for all. A reader tells its peers where the topics end, and which of their
+ * messages it had received before it asked. A host that finds its own message there knows when it sent it, by its own
+ * clock, so no clock of another host and no delay on the way can make old knowledge look fresh.
+ */
+package org.hickorytiller.daemon
+
+import org.hickorytiller.core.HostId
+import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.mesh.PeerTable
+import org.hickorytiller.mesh.Vouch
+import org.hickorytiller.routes.Moment
+
+/** Vouches of the run [process] of [host]. Confined to the event loop. */
+internal class Vouching(
+    private val host: HostId,
+    private val process: ProcessId,
+    private val peers: PeerTable,
+    private val now: () -> Moment,
+) {
+    private val sentAt = object : LinkedHashMap<Long, Moment>() {
+        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Long, Moment>?) = size > KEPT_MESSAGES
+    }
+
+    /** Whether this host reads for others: it is among the first hosts that serve, in the order of their names. */
+    fun isReader(): Boolean = peers.alive().count { it.takesCallers && it.host.value < host.value } < READERS
+
+    /** Records that the own message numbered [sequence] is being sent. */
+    fun sent(sequence: Long) {
+        sentAt[sequence] = now()
+    }
+
+    /** What this host may tell: the ends of the topics as it read them at [readAt]. Null if that is no use to others. */
+    fun vouch(configurationEnd: LogOffset, serversEnd: LogOffset, readAt: Moment?): Vouch? {
+        if (readAt == null || !isReader() || now().monotonic - readAt.monotonic > MAX_AGE_MS) return null
+        return Vouch(configurationEnd, serversEnd, peers.heardBefore(readAt.monotonic))
+    }
+
+    /** When this host sent the message that [vouch] proves to be older than the read; null if it names none. */
+    fun momentOf(vouch: Vouch): Moment? = vouch.heard[host]?.takeIf { it.run == process }?.let { sentAt[it.sequence] }
+
+    private companion object {
+        // Two, so that the loss of one is not noticed.
+        const val READERS = 2
+
+        // Longer than a read of a reader waits.
+        const val MAX_AGE_MS = 1_500L
+
+        // More than are sent within the age that a proof may have.
+        const val KEPT_MESSAGES = 64
+    }
+}
--- /dev/null
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/VouchingTest.kt
@@ -0,0 +1,102 @@
+package org.hickorytiller.daemon
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.shouldBe
+import org.hickorytiller.core.HostId
+import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.core.TimeMs
+import org.hickorytiller.mesh.HostStatus
+import org.hickorytiller.mesh.MessageId
+import org.hickorytiller.mesh.PeerTable
+import org.hickorytiller.mesh.Vouch
+import org.hickorytiller.routes.Moment
+import java.net.InetSocketAddress
+
+class VouchingTest : AnnotationSpec() {
+    private var nowMs = 0L
+    private val run = ProcessId("run")
+
+    /** One host with its peers; statuses are handed over by the test. */
+    private inner class Host(name: String) {
+        val id = HostId(name)
+        val peers = PeerTable({ TimeMs(nowMs) }, id)
+        val vouching = Vouching(id, run, peers) { Moment(TimeMs(nowMs), nowMs) }
+        private var sequence = 0L
+
+        fun status(takesCallers: Boolean = true): HostStatus {
+            vouching.sent(++sequence)
+            val address = InetSocketAddress("10.0.0.1", 7_340)
+            return HostStatus(
+                id,
+                run,
+                sequence,
+                address,
+                address,
+                takesCallers,
+                holdsDuties = false,
+                wallMs = 0,
+                load = emptyMap(),
+                parts = emptyList(),
+                blames = emptyList(),
+                usage = emptyMap(),
+                vouch = null,
+                peers = emptyList(),
+            )
+        }
+
+        fun vouchFor(readAtMs: Long) = vouching.vouch(LogOffset(5), LogOffset(6), Moment(TimeMs(readAtMs), readAtMs))
+    }
+
+    @BeforeEach
+    fun reset() {
+        nowMs = 0
+    }
+
+    @Test
+    fun `guards against an age that is counted from a message which the reader got after it had asked`() {
+        val reader = Host("a")
+        val other = Host("b")
+        nowMs = 1_000
+        reader.peers.receive(other.status())
+        nowMs = 2_000
+        val readAtMs = nowMs
+        nowMs = 2_300
+        reader.peers.receive(other.status())
+        nowMs = 9_000
+        other.vouching.momentOf(reader.vouchFor(readAtMs) ?: Vouch(LogOffset(5), LogOffset(6), reader.peers.heardBefore(TimeMs(readAtMs)))) shouldBe
+            Moment(TimeMs(1_000), 1_000)
+    }
+
+    @Test
+    fun `guards against the word about a message of an earlier run, or of none`() {
+        val other = Host("b")
+        other.status()
+        val heard = { message: MessageId? -> Vouch(LogOffset(1), LogOffset(1), listOfNotNull(message).associateBy { other.id }) }
+        other.vouching.momentOf(heard(MessageId(ProcessId("earlier"), 1))) shouldBe null
+        other.vouching.momentOf(heard(MessageId(run, 99))) shouldBe null
+        other.vouching.momentOf(heard(null)) shouldBe null
+        other.vouching.momentOf(heard(MessageId(run, 1))) shouldBe Moment(TimeMs(0), 0)
+    }
+
+    @Test
+    fun `guards against a word that is passed on long after the read`() {
+        val reader = Host("a")
+        nowMs = 10_000
+        (reader.vouchFor(9_000) != null) shouldBe true
+        reader.vouchFor(8_000) shouldBe null
+    }
+
+    @Test
+    fun `guards against readers that cannot read, and against more of them than needed`() {
+        val host = Host("d")
+        host.vouching.isReader() shouldBe true
+        host.peers.receive(Host("a").status(takesCallers = false))
+        host.peers.receive(Host("b").status())
+        host.vouching.isReader() shouldBe true
+        host.peers.receive(Host("c").status())
+        host.vouching.isReader() shouldBe false
+        nowMs += 1_801
+        host.vouching.isReader() shouldBe true
+    }
+}
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/HostStatus.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/HostStatus.kt
@@ -4,6 +4,7 @@
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.CustomerId
 import org.hickorytiller.core.HostId
+import org.hickorytiller.core.LogOffset
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.placement.PartNews
 import org.hickorytiller.placement.ServerLoad
@@ -21,6 +22,19 @@
 /** Requests that began to run, by customer. */
 typealias UsageCounts = Map<CustomerId, Long>
 
+/** The message numbered [sequence] of the run [run] of a host. */
+data class MessageId(val run: ProcessId, val sequence: Long)
+
+/**
+ * What a host has read in the platform's store, so that its peers need not read it as well.
+ *
+ * @property configurationEnd where the configuration ended at a moment after the messages [heard]
+ * @property serversEnd where the list of backend servers ended lately
+ * @property heard the newest message of each host that the sender had received before it asked for [configurationEnd].
+ *   A host finds its own message there, and knows by its own clock how old the answer is at most.
+ */
+data class Vouch(val configurationEnd: LogOffset, val serversEnd: LogOffset, val heard: Map<HostId, MessageId>)
+
 /**
  * @property run changes with each start of the process
  * @property sequence grows with each message of a run
@@ -33,6 +47,7 @@
  * @property parts where the sender has sent parts of prompts within the last moments
  * @property blames crashes that the sender saw within the last moments, with the requests in flight then
  * @property usage what the sender has counted in the latest windows
+ * @property vouch null if the sender does not read for others, or has not read lately
  * @property peers addresses of other hosts that the sender has heard from
  */
 data class HostStatus(
@@ -48,5 +63,6 @@
     val parts: List<PartNews>,
     val blames: List<Blame>,
     val usage: Map<WindowNumber, UsageCounts>,
+    val vouch: Vouch?,
     val peers: List<InetSocketAddress>,
 )
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/PeerTable.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/PeerTable.kt
@@ -35,7 +35,7 @@
         val sameRun = known?.status?.run == status.run
         if (known != null && sameRun && status.sequence <= known.status.sequence) return false
         if (known != null && known.status.meshAddress != status.meshAddress) addresses -= known.status.meshAddress
-        heard[status.host] = Heard(status, clock())
+        heard[status.host] = Heard(status, clock(), known.takeIf { sameRun }?.arrivals ?: ArrayDeque())
         addresses[status.meshAddress] = clock()
         status.peers.forEach(::learn)
         return !sameRun
@@ -54,6 +54,11 @@
         return heard.values.filter { it.at >= oldest }.map { it.status }
     }
 
+    /** The newest message of each host that had arrived before [at]; a host without one is left out. */
+    fun heardBefore(at: TimeMs): Map<HostId, MessageId> = heard.entries.mapNotNull { (host, known) ->
+        known.arrivals.lastOrNull { it.first < at }?.let { host to MessageId(known.status.run, it.second) }
+    }.toMap()
+
     /** The requests in flight of all hosts that are alive, by server. */
     fun load(): Map<BackendServerId, ServerLoad> {
         val sums = HashMap<BackendServerId, ServerLoad>()
@@ -78,5 +83,16 @@
         return readings.sorted()[(readings.size - 1) / 2]
     }
 
-    private class Heard(val status: HostStatus, val at: TimeMs)
+    /** The newest status of a host, and when the last messages of its run arrived. */
+    private class Heard(val status: HostStatus, val at: TimeMs, val arrivals: ArrayDeque<Pair<TimeMs, Long>>) {
+        init {
+            arrivals.addLast(at to status.sequence)
+            if (arrivals.size > MAX_ARRIVALS) arrivals.removeFirst()
+        }
+    }
+
+    private companion object {
+        // More than arrive while a read of the store waits.
+        const val MAX_ARRIVALS = 8
+    }
 }
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
@@ -9,6 +9,7 @@
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.CustomerId
 import org.hickorytiller.core.HostId
+import org.hickorytiller.core.LogOffset
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.core.flag
 import org.hickorytiller.core.jsonTree
@@ -42,6 +43,7 @@
     }
     val usage = root.putObject("usage")
     status.usage.forEach { (window, counts) -> usage.putObject(window.toString()).putCounts(counts) }
+    status.vouch?.let { root.putObject("vouch").putVouch(it) }
     val peers = root.putArray("peers")
     status.peers.forEach { peers.add(it.text()) }
     return jsonTree.writeValueAsBytes(root)
@@ -71,12 +73,29 @@
     parts = root.path("parts").map { decodePart(it) },
     blames = root.path("blames").map { decodeBlame(it) },
     usage = root.path("usage").entries { decodeCounts(it) }.mapKeys { WindowNumber(it.key.toLongOrNull() ?: -1) },
+    vouch = root.path("vouch").takeIf { it.isObject }?.let { decodeVouch(it).bind() },
     peers = root.path("peers").mapNotNull { parseAddress(it.asText()) },
 )
 
 private fun decodePart(node: JsonNode) =
     PartNews(PartId(node.path(0).asLong()), BackendServerId(node.path(1).asText()), node.path(2).asLong())
 
+private fun ObjectNode.putVouch(vouch: Vouch) {
+    put("configuration", vouch.configurationEnd.value).put("servers", vouch.serversEnd.value)
+    val heard = putObject("heard")
+    vouch.heard.forEach { (host, message) -> heard.putArray(host.value).add(message.run.value).add(message.sequence) }
+}
+
+private fun decodeVouch(node: JsonNode): Vouch? = nullable {
+    Vouch(
+        LogOffset(node.whole("configuration").bind()),
+        LogOffset(node.whole("servers").bind()),
+        node.path("heard").entries { decodeMessageId(it) }.mapKeys { HostId(it.key) },
+    )
+}
+
+private fun decodeMessageId(node: JsonNode) = MessageId(ProcessId(node.path(0).asText()), node.path(1).asLong())
+
 private fun decodeBlame(node: JsonNode): Blame {
     val server = ServerRun(BackendServerId(node.path(1).asText()), node.path(2).asLong())
     return Blame(RequestFingerprint(node.path(0).asText()), server, node.path(BLAME_AGE).asLong())
--- a/mesh/src/test/kotlin/org/hickorytiller/mesh/PeerTableTest.kt
+++ b/mesh/src/test/kotlin/org/hickorytiller/mesh/PeerTableTest.kt
@@ -8,6 +8,7 @@
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.CustomerId
 import org.hickorytiller.core.HostId
+import org.hickorytiller.core.LogOffset
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.placement.PartId
@@ -37,6 +38,7 @@
         parts = listOf(PartNews(PartId(-7), server, 20)),
         blames = listOf(Blame(RequestFingerprint("f"), ServerRun(server, 9), 30)),
         usage = mapOf(WindowNumber(5) to mapOf(CustomerId("c") to 3L)),
+        vouch = Vouch(LogOffset(3), LogOffset(4), mapOf(HostId("own") to MessageId(ProcessId("p"), 8))),
         peers = listOf(InetSocketAddress("10.0.0.9", 7_340)),
     )
 
@@ -87,6 +89,22 @@
         table().medianWallMs(ownWallMs = 77) shouldBe 77
     }
 
+    @Test
+    fun `guards against a message that counts as heard before it arrived, or of an earlier run`() {
+        val table = table()
+        nowMs = 0
+        table.receive(status("a", 1))
+        nowMs = 100
+        table.receive(status("a", 2))
+        table.heardBefore(TimeMs(0)) shouldBe emptyMap()
+        table.heardBefore(TimeMs(100)) shouldBe mapOf(HostId("a") to MessageId(ProcessId("run"), 1))
+        table.heardBefore(TimeMs(101)) shouldBe mapOf(HostId("a") to MessageId(ProcessId("run"), 2))
+        table.receive(status("a", 1, run = "next"))
+        table.heardBefore(TimeMs(101)) shouldBe mapOf(HostId("a") to MessageId(ProcessId("next"), 1))
+        repeat(99) { table.receive(status("a", 2L + it, run = "next")) }
+        table.heardBefore(TimeMs(100)) shouldBe emptyMap()
+    }
+
     @Test
     fun `guards against a status that changes on the way`() {
         val sent = status("a", 4)
--- a/relay/src/main/kotlin/org/hickorytiller/relay/RetryAllowance.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/RetryAllowance.kt
@@ -10,13 +10,16 @@
 
 /**
  * @property ratio repeats for each request of the pool in the window
- * @property slack repeats that this host may send beyond that
+ * @property slack repeats that all hosts together may send beyond that
  * @property windowMs length of the sliding window
  */
 data class RetryRules(val ratio: Double, val slack: Int, val windowMs: Long)
 
+/** Counts the hosts that share the bound. */
+typealias CountHosts = () -> Int
+
 /** Repeats of one host, by pool. */
-class RetryAllowance(private val clock: Clock, private val rules: RetryRules) {
+class RetryAllowance(private val clock: Clock, private val rules: RetryRules, private val countHosts: CountHosts) {
     private val pools = HashMap<PoolId, Window>()
 
     /** Records a caller's request to [pool]. */
@@ -27,7 +30,8 @@
     /** Takes one repeat to [pool]; false if the window has no room for it. */
     fun take(pool: PoolId): Boolean {
         val window = window(pool)
-        if (window.repeats.size + 1 > rules.ratio * window.requests.size + rules.slack) return false
+        val slack = rules.slack / maxOf(MIN_HOSTS, countHosts() * SPARE_HOSTS).toInt()
+        if (window.repeats.size + 1 > rules.ratio * window.requests.size + slack) return false
         window.repeats.addLast(clock())
         return true
     }
@@ -44,6 +48,12 @@
         while (isNotEmpty() && first() < oldest) removeFirst()
     }
 
+    private companion object {
+        // Hosts that this one does not know of, for example right after its start, take a part as well.
+        const val MIN_HOSTS = 16.0
+        const val SPARE_HOSTS = 1.25
+    }
+
     private class Window {
         val requests = ArrayDeque<TimeMs>()
         val repeats = ArrayDeque<TimeMs>()
--- a/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
+++ b/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
@@ -72,7 +72,7 @@
                 attempts += attempt
                 open(queue.removeFirst())
             },
-            RetryAllowance(clock, RetryRules(ratio = 0.0, slack = slack, windowMs = 10_000)),
+            RetryAllowance(clock, RetryRules(ratio = 0.0, slack = slack * 16, windowMs = 10_000)) { 1 },
             RelayEvents(onRun = { run++ }, onAttemptFailed = { _, _, _ -> }, onAbandoned = { _, outcome -> abandoned += outcome }),
             CrashProbe(suspects, clock) { it.id !in crashed },
         )
--- a/relay/src/test/kotlin/org/hickorytiller/relay/RetryAllowanceTest.kt
+++ b/relay/src/test/kotlin/org/hickorytiller/relay/RetryAllowanceTest.kt
@@ -13,7 +13,7 @@
         (1L..30L).forEach { seed ->
             val random = Random(seed)
             var nowMs = 0L
-            val allowance = RetryAllowance({ TimeMs(nowMs) }, RetryRules(ratio = 0.15, slack = 3, windowMs = 10_000))
+            val allowance = RetryAllowance({ TimeMs(nowMs) }, RetryRules(ratio = 0.15, slack = 48, windowMs = 10_000)) { 8 }
             val pool = PoolId("p")
             val requests = mutableListOf<Long>()
             val repeats = mutableListOf<Long>()
@@ -29,9 +29,18 @@
         }
     }
 
+    @Test
+    fun `guards against hosts that together send more repeats than the shared slack`() {
+        listOf(1, 8, 16, 65, 360).forEach { hosts ->
+            val taken = List(hosts) { RetryAllowance({ TimeMs(0) }, RetryRules(ratio = 0.0, slack = 170, windowMs = 10_000)) { hosts } }
+                .sumOf { allowance -> List(170) { allowance.take(PoolId("p")) }.count { it } }
+            taken shouldBeLessThanOrEqualTo 170
+        }
+    }
+
     @Test
     fun `guards against a pool that uses up the repeats of another one`() {
-        val allowance = RetryAllowance({ TimeMs(0) }, RetryRules(ratio = 0.0, slack = 1, windowMs = 10_000))
+        val allowance = RetryAllowance({ TimeMs(0) }, RetryRules(ratio = 0.0, slack = 16, windowMs = 10_000)) { 1 }
         allowance.take(PoolId("a")) shouldBe true
         allowance.take(PoolId("a")) shouldBe false
         allowance.take(PoolId("b")) shouldBe true
--- a/standins/src/main/kotlin/org/hickorytiller/standins/PlatformStoreStandIn.kt
+++ b/standins/src/main/kotlin/org/hickorytiller/standins/PlatformStoreStandIn.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoopGroup
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.awaitCancellation
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hickorytiller.core.jsonTree
 import org.hickorytiller.http.Headers
@@ -36,6 +37,12 @@
     /** Number of appends whose answer is lost after they took effect. */
     var loseAnswers = 0
 
+    /** Number of records that an answer holds at most. */
+    var maxRecords = Int.MAX_VALUE
+
+    /** Whether reads that wait are never answered, as on a connection that has gone silent. */
+    var isSilent = false
+
     /** Number of calls answered or dropped. */
     var calls = 0
         private set
@@ -107,6 +114,7 @@
         if (from >= topic.records.size) {
             withTimeoutOrNull(head.query("wait-ms")?.toLong() ?: 0) { topic.appended.await() }
         }
+        if (isSilent) awaitCancellation()
         outageStatus?.let { return connection.answer(it) }
         val out = ByteArrayOutputStream()
         out.write(
@@ -114,7 +122,7 @@
                 2 * Long.SIZE_BYTES,
             ).putLong(topic.records.size.toLong()).putLong(topic.first.toLong()).array(),
         )
-        topic.records.drop(from).forEach { out.write(framed(it)) }
+        topic.records.drop(from).take(maxRecords).forEach { out.write(framed(it)) }
         connection.respond(HttpStatus.OK, Headers.EMPTY, out.toByteArray())
     }
 
--- /dev/null
+++ b/standins/src/test/kotlin/org/hickorytiller/standins/KeyedFollowerTest.kt
@@ -0,0 +1,133 @@
+package org.hickorytiller.standins
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.StreamName
+import org.hickorytiller.core.monotonicClock
+import org.hickorytiller.http.EventLoop
+import org.hickorytiller.http.HttpClient
+import org.hickorytiller.http.HttpLimits
+import org.hickorytiller.platform.FollowRules
+import org.hickorytiller.platform.KeyedFollower
+import org.hickorytiller.platform.KeyedRecord
+import org.hickorytiller.platform.KeyedUpdates
+import org.hickorytiller.platform.ProofSource
+import org.hickorytiller.platform.StoreClient
+import org.hickorytiller.routes.Moment
+import java.net.InetSocketAddress
+
+class KeyedFollowerTest : AnnotationSpec() {
+    private lateinit var loop: EventLoop
+    private lateinit var store: PlatformStoreStandIn
+    private lateinit var follower: KeyedFollower
+    private val values = mutableListOf<String>()
+    private val proofs = mutableListOf<Pair<ProofSource, Int>>()
+
+    private fun follow(rules: FollowRules) {
+        loop = EventLoop()
+        store = PlatformStoreStandIn()
+        val server = store.start(loop.group, loop.scope, InetSocketAddress("127.0.0.1", 0))
+        val client = StoreClient(HttpClient(loop.group, HttpLimits()), server.address)
+        val take = { records: List<KeyedRecord> -> records.forEach { values += String(it.value!!) } }
+        val updates =
+            KeyedUpdates(take, take, onProof = { _, source -> proofs += source to values.size }, onFailure = { })
+        follower = KeyedFollower(client, StreamName("keyed.t"), rules, ::now, isReader = { false }, updates)
+        onLoop { store.put("keyed.t", "k", "first") }
+        loop.scope.launch { follower.run() }
+        await { "first" in values }
+    }
+
+    private fun now() = Moment(monotonicClock(), System.currentTimeMillis())
+
+    private fun <T> onLoop(block: suspend () -> T): T = runBlocking { withContext(loop.scope.coroutineContext) { block() } }
+
+    /** Fails after ten seconds, which no healthy run needs. */
+    private fun await(condition: () -> Boolean) {
+        val deadline = monotonicClock() + 10_000
+        while (!onLoop { condition() }) {
+            check(monotonicClock() < deadline) { "the condition did not come true" }
+            runBlocking { delay(10) }
+        }
+    }
+
+    private fun vouch(end: Long) = onLoop { follower.vouched(LogOffset(end), now()) }
+
+    @BeforeEach
+    fun reset() {
+        values.clear()
+        proofs.clear()
+    }
+
+    @AfterEach
+    fun stop() = loop.close()
+
+    @Test
+    fun `guards against a proof from an answer that was cut before the end of the topic`() {
+        follow(FollowRules(staleMs = 60_000, waitMs = 60))
+        onLoop {
+            store.maxRecords = 1
+            store.outageStatus = 503
+            repeat(3) { store.put("keyed.t", "k", "later-$it") }
+            proofs.clear()
+            store.outageStatus = null
+        }
+        await { values.size == 4 && proofs.isNotEmpty() }
+        proofs.filter { it.second < 4 }.shouldBeEmpty()
+    }
+
+    @Test
+    fun `guards against calls that a peer's word makes needless`() {
+        follow(FollowRules(staleMs = 60_000, waitMs = 30))
+        vouch(1)
+        runBlocking { delay(200) }
+        val before = onLoop { store.calls }
+        runBlocking { delay(500) }
+        onLoop { store.calls } - before shouldBeLessThanOrEqual 1
+        onLoop { proofs.map { it.first } } shouldContain ProofSource.PEER
+        onLoop { store.put("keyed.t", "k", "second") }
+        await { "second" in values }
+    }
+
+    @Test
+    fun `guards against a connection that has gone silent while a peer knows more`() {
+        follow(FollowRules(staleMs = 60_000, waitMs = 30, behindMs = 100))
+        vouch(1)
+        runBlocking { delay(200) }
+        onLoop {
+            store.isSilent = true
+            store.put("keyed.t", "k", "second")
+        }
+        runBlocking { delay(100) }
+        onLoop { store.isSilent = false }
+        ("second" in onLoop { values.toList() }) shouldBe false
+        await {
+            follower.vouched(LogOffset(2), now())
+            "second" in values
+        }
+    }
+
+    @Test
+    fun `guards against a long wait on the word of a peer that has fallen silent`() {
+        follow(FollowRules(staleMs = 400, waitMs = 30))
+        vouch(1)
+        runBlocking { delay(100) }
+        val before = onLoop { store.calls }
+        await { store.calls >= before + 3 }
+    }
+
+    @Test
+    fun `guards against a peer's word about records that this host has not read`() {
+        follow(FollowRules(staleMs = 60_000, waitMs = 5_000))
+        val own = onLoop { proofs.count { it.first == ProofSource.PEER } }
+        vouch(2)
+        onLoop { proofs.count { it.first == ProofSource.PEER } } shouldBe own
+    }
+}
