Order at the full price when reclaimable servers are refused, and hand the duties over sooner

Change: a holder tells the offset of its latest renewal, and the wait for the end of its term counts from when that was heard. The planner counts only orders that were taken against the limit, keeps servers at the full price until reclaimable ones have started, and leaves room for the least number of these.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -106,7 +106,7 @@
             peers,
             { sequence -> vouching.sent(sequence) },
             ::vouch,
-            OwnBeliefs(::canServe, { dutyTask?.isHolder ?: false }, ::trueWallMs),
+            OwnBeliefs(::canServe, { dutyTask?.leaseEnd }, ::trueWallMs),
         )
     private val mesh: Mesh = Mesh(loop.group, settings.listen.mesh, peers, status::build, ::received)
     private val stopTask: StopTask =
@@ -188,6 +188,7 @@
         placement.learnParts(status.parts)
         status.blames.forEach { suspects.adopt(it, clock()) }
         status.vouch?.let(::vouched)
+        status.leaseEnd?.let { dutyTask?.heard(it) }
     }
 
     private fun vouch(): Vouch? {
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/DutyTask.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/DutyTask.kt
@@ -10,6 +10,7 @@
 import org.hickorytiller.core.Clock
 import org.hickorytiller.core.Delivery
 import org.hickorytiller.core.HostId
+import org.hickorytiller.core.LogOffset
 import org.hickorytiller.leases.ClaimId
 import org.hickorytiller.leases.ConditionalLease
 import org.hickorytiller.mesh.PeerTable
@@ -38,8 +39,11 @@
 
     private var wasHolder = false
 
-    /** Whether this host performs the duties now. */
-    val isHolder: Boolean get() = lease.holds()
+    /** Where the log of the lease ended after this host's latest renewal; null unless it performs the duties now. */
+    val leaseEnd: LogOffset? get() = lease.heldEnd
+
+    /** Takes a peer's word about its lease, so that the wait for its end begins with its last message. */
+    fun heard(end: LogOffset) = lease.heard(end)
 
     /** Competes and performs; does not return. */
     suspend fun run(): Nothing {
@@ -63,7 +67,7 @@
     /** While a peer says that it holds the duties, the others leave the store alone. */
     private fun isCandidate(): Boolean {
         val alive = peers.alive()
-        if (alive.any { it.holdsDuties }) return false
+        if (alive.any { it.leaseEnd != null }) return false
         return alive.count { it.host.value < host.value } < CANDIDATES
     }
 
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/FleetTask.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/FleetTask.kt
@@ -31,7 +31,10 @@
 
     /** Sends the orders that are due under [token]. */
     suspend fun placeOrders(token: Long) {
-        if (token != lastToken) book.clear()
+        if (token != lastToken) {
+            book.clear()
+            planners.clear()
+        }
         lastToken = token
         if (clock() - lastPlan < PLAN_INTERVAL_MS) return
         lastPlan = clock()
@@ -51,13 +54,18 @@
                         order.part,
                     )} inFlight=$inFlight token=$token outcome=$delivery"
             }
-            settle(order, delivery, planner)
+            settle(order, delivery, planner, pool)
         }
     }
 
-    private fun settle(order: FleetOrder, delivery: Delivery, planner: FleetPlanner) {
+    private fun settle(order: FleetOrder, delivery: Delivery, planner: FleetPlanner, pool: PoolSpec) {
         when (delivery) {
-            Delivery.Taken -> book.taken(order)
+            Delivery.Taken -> {
+                book.taken(order)
+                if (order.part.isReclaimable) {
+                    planner.accepted(order.part.domain, order.count, pool.scaling?.bootDelayMs ?: 0)
+                }
+            }
             is Delivery.Refused ->
                 if (delivery.status == HttpStatus.CONFLICT && order.part.isReclaimable) {
                     planner.refused(order.part.domain)
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/OwnStatus.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/OwnStatus.kt
@@ -2,6 +2,7 @@
 package org.hickorytiller.daemon
 
 import org.hickorytiller.core.Clock
+import org.hickorytiller.core.LogOffset
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.mesh.HostStatus
 import org.hickorytiller.mesh.PeerTable
@@ -11,7 +12,7 @@
 import org.hickorytiller.quarantine.CrashSuspects
 
 /** Beliefs of the process that its peers are told. */
-internal class OwnBeliefs(val takesCallers: () -> Boolean, val holdsDuties: () -> Boolean, val trueWallMs: () -> Long)
+internal class OwnBeliefs(val takesCallers: () -> Boolean, val leaseEnd: () -> LogOffset?, val trueWallMs: () -> Long)
 
 /** Builds statuses of the run [process]. */
 internal class OwnStatus(
@@ -36,7 +37,7 @@
         meshAddress = settings.listen.mesh,
         callerAddress = settings.listen.callers,
         takesCallers = beliefs.takesCallers(),
-        holdsDuties = beliefs.holdsDuties(),
+        leaseEnd = beliefs.leaseEnd(),
         wallMs = System.currentTimeMillis(),
         load = placement.ownLoad(),
         parts = placement.partsToShare(),
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/VouchingTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/VouchingTest.kt
@@ -34,7 +34,7 @@
                 address,
                 address,
                 takesCallers,
-                holdsDuties = false,
+                leaseEnd = null,
                 wallMs = 0,
                 load = emptyMap(),
                 parts = emptyList(),
--- a/leases/src/main/kotlin/org/hickorytiller/leases/ConditionalLease.kt
+++ b/leases/src/main/kotlin/org/hickorytiller/leases/ConditionalLease.kt
@@ -55,6 +55,18 @@
         if (newest != own && newest != null) drop()
     }
 
+    /** Takes a holder's word that the log ended at [end] after its latest renewal. */
+    fun heard(end: LogOffset) {
+        val known = this.end
+        if (token != null || (known != null && known >= end)) return
+        this.end = end
+        isEmpty = false
+        seenSince = clock()
+    }
+
+    /** Where the log ended after this process's latest renewal; null unless it may act now. */
+    val heldEnd: LogOffset? get() = end.takeIf { holds() }
+
     /** The offset at which this process may claim or renew now; null if it has to wait or to read first. */
     fun claimAt(): LogOffset? {
         val known = end ?: return null
--- a/leases/src/test/kotlin/org/hickorytiller/leases/ConditionalLeaseTest.kt
+++ b/leases/src/test/kotlin/org/hickorytiller/leases/ConditionalLeaseTest.kt
@@ -50,6 +50,42 @@
         other.lease.holds() shouldBe false
     }
 
+    @Test
+    fun `guards against a second wait for a holder whose last renewal was heard of`() {
+        val log = mutableListOf<String>()
+        val holder = Candidate("a", log).apply { read() }
+        holder.append()
+        val other = Candidate("b", log)
+        other.lease.heard(holder.lease.heldEnd!!)
+        other.pass(3_400)
+        holder.pass(3_400)
+        other.read()
+        other.append()
+        other.lease.holds() shouldBe true
+        holder.lease.holds() shouldBe false
+        holder.lease.heldEnd shouldBe null
+    }
+
+    @Test
+    fun `guards against a claim after a renewal that was not heard of`() {
+        val log = mutableListOf<String>()
+        val holder = Candidate("a", log).apply { read() }
+        holder.append()
+        val other = Candidate("b", log)
+        other.lease.heard(holder.lease.heldEnd!!)
+        other.pass(3_400)
+        holder.pass(1_000)
+        holder.append()
+        other.read()
+        other.lease.claimAt() shouldBe null
+        // An older message that arrives late does not bring the wait forward or put it off.
+        other.lease.heard(LogOffset(1))
+        other.pass(3_399)
+        other.lease.claimAt() shouldBe null
+        other.pass(1)
+        other.lease.claimAt() shouldBe LogOffset(2)
+    }
+
     @Test
     fun `guards against a holder that acts after a suspension`() {
         val holder = Candidate("a", mutableListOf()).apply { read() }
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
@@ -28,7 +28,8 @@
     val root = jsonTree.createObjectNode()
     root.put("host", status.host.value).put("run", status.run.value).put("seq", status.sequence)
     root.put("mesh", status.meshAddress.text()).put("callers", status.callerAddress.text())
-    root.put("serving", status.takesCallers).put("duties", status.holdsDuties).put("wall", status.wallMs)
+    root.put("serving", status.takesCallers).put("wall", status.wallMs)
+    status.leaseEnd?.let { root.put("lease", it.value) }
     val load = root.putObject("load")
     status.load.forEach { (server, figures) ->
         load.putArray(server.value).add(figures.requests).add(figures.unreadTokens)
@@ -67,7 +68,7 @@
     meshAddress = root.text("mesh").bind().let(::parseAddress).bind(),
     callerAddress = root.text("callers").bind().let(::parseAddress).bind(),
     takesCallers = root.flag("serving").bind(),
-    holdsDuties = root.flag("duties").bind(),
+    leaseEnd = root.whole("lease")?.let(::LogOffset),
     wallMs = root.whole("wall").bind(),
     load = root.path("load").entries { decodeLoad(it) }.mapKeys { BackendServerId(it.key) },
     parts = root.path("parts").map { decodePart(it) },
--- a/mesh/src/test/kotlin/org/hickorytiller/mesh/PeerTableTest.kt
+++ b/mesh/src/test/kotlin/org/hickorytiller/mesh/PeerTableTest.kt
@@ -32,7 +32,7 @@
         InetSocketAddress("10.0.0.1", port),
         InetSocketAddress("10.0.0.1", 8_000),
         takesCallers = true,
-        holdsDuties = false,
+        leaseEnd = LogOffset(12),
         wallMs,
         load = mapOf(server to ServerLoad(2, 100)),
         parts = listOf(PartNews(PartId(-7), server, 20)),
--- a/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
+++ b/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
@@ -18,22 +18,43 @@
  * @property holdMs time for which a peak of demand keeps its servers; it spans the pause between two bursts
  * @property refusedMs time for which a failure domain that had no reclaimable server to give is not asked again
  * @property leastPerDomain reclaimable servers kept in each failure domain
+ * @property bootMarginMs time beyond its start until a server takes load; the ones at the full price stay until then
  */
 data class FleetRules(
     val requestsPerServer: Int = 10,
     val holdMs: Long = 12_000,
     val refusedMs: Long = 3_000,
     val leastPerDomain: Int = 3,
+    val bootMarginMs: Long = 1_000,
 )
 
 /** Plans one pool. Confined to the event loop. */
 class FleetPlanner(private val clock: Clock, private val rules: FleetRules = FleetRules()) {
     private val demand = ArrayDeque<Pair<TimeMs, Int>>()
-    private val refusedUntil = HashMap<FailureDomain, TimeMs>()
+    private val supplies = HashMap<FailureDomain, Supply>()
+    private var fullPrice: Map<FailureDomain, Int> = emptyMap()
+
+    /** What this planner knows of the reclaimable servers of one failure domain. */
+    private class Supply {
+        var refusedUntil = LONG_AGO
+        var scarceUntil = LONG_AGO
+
+        /** The order in force; null if this process has placed none. */
+        var ordered: Int? = null
+    }
+
+    /** Records that the platform took an order of [count] reclaimable servers in [domain], which start in [bootMs]. */
+    fun accepted(domain: FailureDomain, count: Int, bootMs: Long) {
+        val supply = supply(domain)
+        supply.ordered = count
+        if (supply.scarceUntil > clock()) supply.scarceUntil = clock() + bootMs + rules.bootMarginMs
+    }
 
     /** Records that [domain] has no reclaimable server to give at present. */
     fun refused(domain: FailureDomain) {
-        refusedUntil[domain] = clock() + rules.refusedMs
+        val supply = supply(domain)
+        supply.refusedUntil = clock() + rules.refusedMs
+        supply.scarceUntil = NEVER
     }
 
     /** The number of servers that each part of the pool should have now. */
@@ -44,18 +65,25 @@
         val needed = serversNeeded(view.inFlight)
         if (scaling.reclaimablePrice == null) return fullPriceOnly(view, scaling, domains, needed)
         val perDomain = perDomain(needed, domains.size, scaling)
-        val reclaimable = domains.associateWith { perDomain }
-        val missing = (needed - reclaimable.entries.sumOf { expected(view, it.key, it.value) }).coerceAtLeast(0)
-        val fullPrice = spread(missing, domains.sortedBy { scaling.domainPrices[it] }, reclaimable, scaling)
+        val expected = domains.associateWith { expected(view, it, perDomain) }
+        val missing = (needed - expected.values.sum()).coerceAtLeast(0)
+        val cheapestFirst = domains.sortedBy { scaling.domainPrices[it] }
+        fullPrice = spread(missing, cheapestFirst.associateWith { scaling.max - standing(view, it, perDomain) })
         return domains.flatMap { domain ->
+            // Orders at the full price go first: both kinds of a domain share one limit.
             listOf(
-                FleetOrder(FleetPart(view.pool.id, domain, isReclaimable = true), reclaimable.getValue(domain)),
                 FleetOrder(FleetPart(view.pool.id, domain, isReclaimable = false), fullPrice[domain] ?: 0),
-            ).filterNot { it.part.isReclaimable && isRefused(domain) }
+                FleetOrder(
+                    FleetPart(view.pool.id, domain, isReclaimable = true),
+                    reclaimable(domain, perDomain, scaling),
+                ),
+            ).filterNot { it.part.isReclaimable && supply(domain).refusedUntil > clock() }
         }
     }
 
-    private fun isRefused(domain: FailureDomain) = (refusedUntil[domain] ?: TimeMs(Long.MIN_VALUE)) > clock()
+    private fun supply(domain: FailureDomain) = supplies.getOrPut(domain) { Supply() }
+
+    private fun isScarce(domain: FailureDomain) = supply(domain).scarceUntil > clock()
 
     private fun serversNeeded(inFlight: Int): Int {
         val now = clock()
@@ -71,11 +99,24 @@
     }
 
     /** Servers that an order of [count] in [domain] gives; where none are to be had, those that run. */
-    private fun expected(view: FleetView, domain: FailureDomain, count: Int): Int {
-        if (!isRefused(domain)) return count
-        return view.servers.count {
-            it.reclaimable && it.failureDomain == domain && it.state == BackendServerState.RUNNING
-        }
+    private fun expected(view: FleetView, domain: FailureDomain, count: Int): Int =
+        if (isScarce(domain)) minOf(count, running(view, domain)) else count
+
+    /**
+     * Part of the limit of [domain] that is left to reclaimable servers. An order that was refused is not in force; room
+     * for the least number stays free, so that they can be asked for again.
+     */
+    private fun standing(view: FleetView, domain: FailureDomain, wanted: Int): Int = if (isScarce(domain)) {
+        maxOf(supply(domain).ordered ?: running(view, domain), rules.leastPerDomain)
+    } else {
+        wanted
+    }
+
+    private fun reclaimable(domain: FailureDomain, wanted: Int, scaling: ScalingSpec): Int =
+        if (isScarce(domain)) minOf(wanted, scaling.max - (fullPrice[domain] ?: 0)) else wanted
+
+    private fun running(view: FleetView, domain: FailureDomain) = view.servers.count {
+        it.reclaimable && it.failureDomain == domain && it.state == BackendServerState.RUNNING
     }
 
     private fun fullPriceOnly(
@@ -88,19 +129,13 @@
         return domains.map { FleetOrder(FleetPart(view.pool.id, it, isReclaimable = false), perDomain) }
     }
 
-    /** Spreads [count] servers over [domains], one at a time, within what the limit leaves beside [reclaimable]. */
-    private fun spread(
-        count: Int,
-        domains: List<FailureDomain>,
-        reclaimable: Map<FailureDomain, Int>,
-        scaling: ScalingSpec,
-    ): Map<FailureDomain, Int> {
-        val room = domains.associateWith { scaling.max - (reclaimable[it] ?: 0) }
+    /** Spreads [count] servers over the domains in the order of [room], one at a time, within the room of each. */
+    private fun spread(count: Int, room: Map<FailureDomain, Int>): Map<FailureDomain, Int> {
         val taken = HashMap<FailureDomain, Int>()
         var left = minOf(count, room.values.sumOf { maxOf(0, it) })
         while (left > 0) {
-            for (domain in domains) {
-                if (left == 0 || (taken[domain] ?: 0) >= room.getValue(domain)) continue
+            for ((domain, limit) in room) {
+                if (left == 0 || (taken[domain] ?: 0) >= limit) continue
                 taken.merge(domain, 1, Int::plus)
                 left--
             }
@@ -109,4 +144,9 @@
     }
 
     private fun ceilDivide(value: Int, divisor: Int) = (value + divisor - 1) / divisor
+
+    private companion object {
+        val LONG_AGO = TimeMs(Long.MIN_VALUE)
+        val NEVER = TimeMs(Long.MAX_VALUE)
+    }
 }
--- a/scaling/src/test/kotlin/org/hickorytiller/scaling/FleetPlannerTest.kt
+++ b/scaling/src/test/kotlin/org/hickorytiller/scaling/FleetPlannerTest.kt
@@ -69,6 +69,45 @@
         planner.plan(FleetView(pool, emptyList(), inFlight = 100)).total(reclaimable = true) shouldBeGreaterThanOrEqual 10
     }
 
+    /** What went wrong on magnolia-grid, scale-2: demand for more servers than the limit, and none to be had. */
+    @Test
+    fun `guards against room for the full price that a refused order takes up`() {
+        val planner = FleetPlanner(clock)
+        planner.plan(FleetView(pool, servers(3, true), inFlight = 420))
+        domains.forEach(planner::refused)
+        planner.plan(FleetView(pool, servers(3, true), inFlight = 420)).total(reclaimable = false) shouldBe 16
+    }
+
+    @Test
+    fun `guards against servers at the full price that go before the reclaimable ones have come`() {
+        val planner = FleetPlanner(clock)
+        domains.forEach(planner::refused)
+        planner.plan(FleetView(pool, servers(1, true), inFlight = 100)).total(reclaimable = false) shouldBe 6
+        nowMs += 3_001
+        val asked = planner.plan(FleetView(pool, servers(1, true), inFlight = 100))
+        asked.total(reclaimable = false) shouldBe 6
+        asked.filter { it.part.isReclaimable }.forEach { planner.accepted(it.part.domain, it.count, bootMs = 4_000) }
+        nowMs += 4_999
+        planner.plan(FleetView(pool, servers(1, true), inFlight = 100)).total(reclaimable = false) shouldBe 6
+        planner.plan(FleetView(pool, servers(4, true), inFlight = 100)).total(reclaimable = false) shouldBe 0
+    }
+
+    @Test
+    fun `guards against both kinds together beyond the limit of a failure domain`() {
+        listOf(0, 1, 3, 6, 7).forAll { running ->
+            val planner = FleetPlanner(clock)
+            domains.forEach(planner::refused)
+            repeat(3) {
+                val plan = planner.plan(FleetView(pool, servers(running, true), inFlight = 1_000))
+                domains.forEach { domain ->
+                    val both = plan.filter { it.part.domain == domain }.sumOf { it.count }
+                    both shouldBeLessThanOrEqual 7
+                }
+                nowMs += 3_001
+            }
+        }
+    }
+
     @Test
     fun `guards against orders that go up and down with every wave`() {
         val planner = FleetPlanner(clock)
