Start faster, wait for the first configuration, and size the least fleet by the operators' limit

On the grown site three reclaimable servers in each domain stood before six times the load of the small one.

Ruled out: classes missing from the archive (116 of 3,700 were generated at run time, the others came from it); a listener that opens later, since callers would then count the address as failed.

A request that meets a process without any configuration waits up to 400 ms for it. The least number of reclaimable servers in a domain is 0.43 of the operators' limit there, which is three on both small sites as before, and 14 on the grown one. The status of a host takes its beliefs together.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ConfigurationView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ConfigurationView.kt
@@ -51,6 +51,7 @@
             KeyedUpdates(::apply, ::apply, ::proven, ::failed),
         )
     private var isReadable = true
+    private val firstProof = CompletableDeferred<Unit>()
 
     /** Where the topic ends as far as this host has read it; null until it has read it once. */
     val end: LogOffset? get() = follower.end
@@ -70,6 +71,7 @@
 
     /** Whether the configuration is proven fresh; asks the store if the proof has just lapsed. */
     suspend fun isFresh(): Boolean {
+        if (table == null) withTimeoutOrNull(START_WAIT_MS) { firstProof.await() }
         if (proof.holds()) return true
         val running = confirming ?: CompletableDeferred<Unit>().also {
             confirming = it
@@ -99,6 +101,7 @@
         if (table == null || !isReadable) return
         proof.proven(at)
         provenAt = at
+        firstProof.complete(Unit)
         if (source == ProofSource.OWN_READ) onRead()
     }
 
@@ -124,6 +127,10 @@
     private companion object {
         val log = KotlinLogging.logger {}
 
+        // A process that has just started reads its first configuration within this time; callers repeat a refused
+        // request once only.
+        const val START_WAIT_MS = 400L
+
         // A request waits so long for a proof before it is refused; the store answers within 4 ms in good health.
         const val CONFIRM_TIMEOUT_MS = 250L
     }
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -4,6 +4,7 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.launch
+import org.hickorytiller.core.HostId
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.core.monotonicClock
 import org.hickorytiller.core.wallTimeMs
@@ -41,7 +42,6 @@
 import org.hickorytiller.routes.FreshnessProof
 import org.hickorytiller.routes.FreshnessRules
 import java.net.InetSocketAddress
-import java.util.UUID
 
 /** A daemon process; [endProcess] is called when it cannot go on. */
 internal class Daemon(
@@ -51,7 +51,7 @@
     private val endProcess: EndProcess,
 ) {
     private val bounds = settings.bounds
-    private val process = ProcessId(UUID.randomUUID().toString().take(RUN_ID_CHARS))
+    private val process = newProcessId(settings.host)
     private val clock = monotonicClock
     private val store = StoreClient(HttpClient(loop.group, STORE_LIMITS), settings.store)
     private val registry = HostRegistry(store)
@@ -97,16 +97,19 @@
     private val dutyTask: DutyTask? = settings.duties?.let(::dutyTask)
     private val status: OwnStatus =
         OwnStatus(
-            clock,
             settings,
             process,
             placement,
-            suspects,
             counters,
             peers,
-            { sequence -> vouching.sent(sequence) },
-            ::vouch,
-            OwnBeliefs(::canServe, { dutyTask?.leaseEnd }, ::trueWallMs),
+            vouching,
+            OwnBeliefs(
+                ::canServe,
+                { dutyTask?.leaseEnd },
+                ::trueWallMs,
+                { suspects.blamesToShare(clock()) },
+                ::vouch,
+            ),
         )
     private val mesh: Mesh = Mesh(loop.group, settings.listen.mesh, peers, status::build, ::received)
     private val stopTask: StopTask =
@@ -230,8 +233,12 @@
     )
 
     private companion object {
+        const val RUN_ID_RADIX = 36
+
+        // Unique by host and start. A random id would start the JVM's security providers, which a start waits for.
+        fun newProcessId(host: HostId) = ProcessId("$host-${wallTimeMs().toString(RUN_ID_RADIX)}")
+
         val log = KotlinLogging.logger {}
-        const val RUN_ID_CHARS = 8
 
         // Covers clocks that run unevenly. A request was sent before it is checked, so its way here needs no margin.
         const val KEY_WITHDRAWAL_MARGIN_MS = 300L
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Main.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Main.kt
@@ -28,6 +28,8 @@
     }
     // Netty would derive an id of the machine from its network interfaces, which takes time and logs a warning.
     System.setProperty("io.netty.machineId", "00:00:00:00:00:00:00:01")
+    // Netty would start the flight recorder of the JVM for events that nobody records, a fifth of the time of a start.
+    System.setProperty("io.netty.jfr.enabled", "false")
     LineLog.install(FileOutputStream(FileDescriptor.out))
     if (args.singleOrNull() == "--warm-up") return warmUp()
     val path = args.firstOrNull() ?: System.getenv(SETTINGS_VARIABLE)
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/OwnStatus.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/OwnStatus.kt
@@ -1,7 +1,6 @@
 /** Builds the status that this host sends to its peers. */
 package org.hickorytiller.daemon
 
-import org.hickorytiller.core.Clock
 import org.hickorytiller.core.LogOffset
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.mesh.HostStatus
@@ -9,22 +8,25 @@
 import org.hickorytiller.mesh.Vouch
 import org.hickorytiller.metering.UsageCounters
 import org.hickorytiller.placement.Placement
-import org.hickorytiller.quarantine.CrashSuspects
+import org.hickorytiller.quarantine.Blame
 
-/** Beliefs of the process that its peers are told. */
-internal class OwnBeliefs(val takesCallers: () -> Boolean, val leaseEnd: () -> LogOffset?, val trueWallMs: () -> Long)
+/** What the process believes at the moment of sending. */
+internal class OwnBeliefs(
+    val takesCallers: () -> Boolean,
+    val leaseEnd: () -> LogOffset?,
+    val trueWallMs: () -> Long,
+    val blames: () -> List<Blame>,
+    val vouch: () -> Vouch?,
+)
 
 /** Builds statuses of the run [process]. */
 internal class OwnStatus(
-    private val clock: Clock,
     private val settings: DaemonSettings,
     private val process: ProcessId,
     private val placement: Placement,
-    private val suspects: CrashSuspects,
     private val counters: UsageCounters,
     private val peers: PeerTable,
-    private val onSequence: (Long) -> Unit,
-    private val vouch: () -> Vouch?,
+    private val vouching: Vouching,
     private val beliefs: OwnBeliefs,
 ) {
     private var sequence = 0L
@@ -33,7 +35,7 @@
     fun build() = HostStatus(
         host = settings.host,
         run = process,
-        sequence = (++sequence).also(onSequence),
+        sequence = (++sequence).also(vouching::sent),
         meshAddress = settings.listen.mesh,
         callerAddress = settings.listen.callers,
         takesCallers = beliefs.takesCallers(),
@@ -41,9 +43,9 @@
         wallMs = System.currentTimeMillis(),
         load = placement.ownLoad(),
         parts = placement.partsToShare(),
-        blames = suspects.blamesToShare(clock()),
+        blames = beliefs.blames(),
         usage = counters.toShare(beliefs.trueWallMs()),
-        vouch = vouch(),
+        vouch = beliefs.vouch(),
         peers = peers.alive().take(MAX_PEERS).map { it.meshAddress },
     )
 
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Vouching.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Vouching.kt
@@ -19,9 +19,7 @@
     private val peers: PeerTable,
     private val now: () -> Moment,
 ) {
-    private val sentAt = object : LinkedHashMap<Long, Moment>() {
-        override fun removeEldestEntry(eldest: MutableMap.MutableEntry<Long, Moment>?) = size > KEPT_MESSAGES
-    }
+    private val sentAt = LinkedHashMap<Long, Moment>()
 
     /** Whether this host reads for others: it is among the first hosts that serve, in the order of their names. */
     fun isReader(): Boolean = peers.alive().count { it.takesCallers && it.host.value < host.value } < READERS
@@ -29,9 +27,10 @@
     /** Records that the own message numbered [sequence] is being sent. */
     fun sent(sequence: Long) {
         sentAt[sequence] = now()
+        if (sentAt.size > KEPT_MESSAGES) sentAt.remove(sentAt.keys.first())
     }
 
-    /** What this host may tell: the ends of the topics as it read them at [readAt]. Null if that is no use to others. */
+    /** What this host may tell: the ends of the topics as it read them at [readAt]; null if that is of no use. */
     fun vouch(configurationEnd: LogOffset, serversEnd: LogOffset, readAt: Moment?): Vouch? {
         if (readAt == null || !isReader() || now().monotonic - readAt.monotonic > MAX_AGE_MS) return null
         return Vouch(configurationEnd, serversEnd, peers.heardBefore(readAt.monotonic))
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/HostStatus.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/HostStatus.kt
@@ -41,8 +41,8 @@
  * @property meshAddress where the host receives messages of its peers
  * @property callerAddress where the host serves callers
  * @property takesCallers false once the host is being stopped, or while it cannot serve
- * @property leaseEnd where the log of the lease ended after the latest renewal of a host that holds the duties; null for
- *   a host that does not hold them
+ * @property leaseEnd where the log of the lease ended after the sender's latest renewal; null if it does not hold the
+ *   duties
  * @property wallMs the sender's time of day in milliseconds since 1970
  * @property load the sender's requests in flight
  * @property parts where the sender has sent parts of prompts within the last moments
--- a/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
+++ b/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
@@ -12,19 +12,21 @@
 import org.hickorytiller.core.FailureDomain
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.routes.ScalingSpec
+import kotlin.math.roundToInt
 
 /**
  * @property requestsPerServer requests in flight that a server serves within its targets
  * @property holdMs time for which a peak of demand keeps its servers; it spans the pause between two bursts
  * @property refusedMs time for which a failure domain that had no reclaimable server to give is not asked again
- * @property leastPerDomain reclaimable servers kept in each failure domain
+ * @property leastShare reclaimable servers kept in each failure domain, as a share of the most that the operators allow
+ *   there: a server needs longer to start than a burst needs to rise, and comes with an empty memory
  * @property bootMarginMs time beyond its start until a server takes load; the ones at the full price stay until then
  */
 data class FleetRules(
     val requestsPerServer: Int = 10,
     val holdMs: Long = 12_000,
     val refusedMs: Long = 3_000,
-    val leastPerDomain: Int = 3,
+    val leastShare: Double = 0.43,
     val bootMarginMs: Long = 1_000,
 )
 
@@ -68,7 +70,8 @@
         val expected = domains.associateWith { expected(view, it, perDomain) }
         val missing = (needed - expected.values.sum()).coerceAtLeast(0)
         val cheapestFirst = domains.sortedBy { scaling.domainPrices[it] }
-        fullPrice = spread(missing, cheapestFirst.associateWith { scaling.max - standing(view, it, perDomain) })
+        fullPrice =
+            spread(missing, cheapestFirst.associateWith { scaling.max - standing(view, it, perDomain, scaling) })
         return domains.flatMap { domain ->
             // Orders at the full price go first: both kinds of a domain share one limit.
             listOf(
@@ -95,7 +98,7 @@
 
     private fun perDomain(needed: Int, domains: Int, scaling: ScalingSpec): Int {
         val survivors = (domains - 1).coerceAtLeast(1)
-        return ceilDivide(needed, survivors).coerceIn(maxOf(scaling.min, rules.leastPerDomain), scaling.max)
+        return ceilDivide(needed, survivors).coerceIn(least(scaling), scaling.max)
     }
 
     /** Servers that an order of [count] in [domain] gives; where none are to be had, those that run. */
@@ -103,14 +106,14 @@
         if (isScarce(domain)) minOf(count, running(view, domain)) else count
 
     /**
-     * Part of the limit of [domain] that is left to reclaimable servers. An order that was refused is not in force; room
-     * for the least number stays free, so that they can be asked for again.
+     * Part of the limit of [domain] that is left to reclaimable servers. An order that was refused is not in force.
+     * Room for the least number stays free, so that they can be asked for again.
      */
-    private fun standing(view: FleetView, domain: FailureDomain, wanted: Int): Int = if (isScarce(domain)) {
-        maxOf(supply(domain).ordered ?: running(view, domain), rules.leastPerDomain)
-    } else {
-        wanted
-    }
+    private fun standing(view: FleetView, domain: FailureDomain, wanted: Int, scaling: ScalingSpec): Int =
+        if (isScarce(domain)) maxOf(supply(domain).ordered ?: running(view, domain), least(scaling)) else wanted
+
+    private fun least(scaling: ScalingSpec) =
+        (scaling.max * rules.leastShare).roundToInt().coerceIn(scaling.min, scaling.max)
 
     private fun reclaimable(domain: FailureDomain, wanted: Int, scaling: ScalingSpec): Int =
         if (isScarce(domain)) minOf(wanted, scaling.max - (fullPrice[domain] ?: 0)) else wanted
--- a/scaling/src/test/kotlin/org/hickorytiller/scaling/FleetPlannerTest.kt
+++ b/scaling/src/test/kotlin/org/hickorytiller/scaling/FleetPlannerTest.kt
@@ -43,6 +43,16 @@
 
     private fun List<FleetOrder>.total(reclaimable: Boolean) = filter { it.part.isReclaimable == reclaimable }.sumOf { it.count }
 
+    @Test
+    fun `guards against a large pool that is kept as small as a small one`() {
+        data class Case(val max: Int, val least: Int)
+        listOf(Case(1, 1), Case(6, 3), Case(7, 3), Case(21, 9), Case(32, 14)).forAll { case ->
+            val sized = pool.copy(scaling = pool.scaling!!.copy(max = case.max))
+            val plan = FleetPlanner(clock).plan(FleetView(sized, emptyList(), inFlight = 0))
+            plan.filter { it.part.isReclaimable }.map { it.count }.toSet() shouldBe setOf(case.least)
+        }
+    }
+
     @Test
     fun `guards against a plan that the loss of one failure domain breaks`() {
         listOf(0, 40, 80, 150, 200).forAll { inFlight ->
