Take the retry ratio and fractional bounds from the platform, and bound a status

Cause: the template held the retry ratio as a constant, and formed milliseconds by appending zeros, so that a bound like 7.5 s would have kept the daemon from starting. The 65 hosts of the grown site still sent 746 repeats where 741 are allowed: about 28 of them counted as alive at a time, each divided the slack by those. A status of more than 16 KB was dropped without a word.

Change: bounds are numbers in the unit that the platform uses. Hosts heard of in the last two minutes share the slack. A reader names at most 128 hosts in a status, and a status that is too long is logged. The engine stand-in gives `total_tokens` and an id for each answer, which stock clients of the chat interface expect.

--- a/core/src/main/kotlin/org/hickorytiller/core/SettingsReader.kt
+++ b/core/src/main/kotlin/org/hickorytiller/core/SettingsReader.kt
@@ -72,6 +72,15 @@
     fun int(name: String, range: IntRange, default: Int? = null): Int =
         long(name, range.first.toLong()..range.last.toLong(), default?.toLong()).toInt()
 
+    /** The number called [name], whole or not, which has to be in [range]. */
+    fun number(name: String, range: ClosedFloatingPointRange<Double>): Double {
+        val node = take(name) ?: return missing(name, range.start)
+        if (!node.isNumber) return fault(name, "expected a number", range.start)
+        val value = node.doubleValue()
+        if (value in range) return value
+        return fault(name, "expected a value from ${range.start} to ${range.endInclusive}, found $value", range.start)
+    }
+
     /** The boolean called [name]. */
     fun boolean(name: String, default: Boolean? = null): Boolean {
         val node = take(name) ?: return default ?: missing(name, false)
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -60,7 +60,7 @@
         FreshnessProof(clock, ::wallTimeMs, FreshnessRules(bounds.keyWithdrawalMs - KEY_WITHDRAWAL_MARGIN_MS))
     private val peers = PeerTable(clock, settings.host)
     private val vouching = Vouching(settings.host, process, peers, proof::now)
-    private val followRules = FollowRules(staleMs = bounds.keyWithdrawalMs * STALE_PERCENT / PERCENT.toLong())
+    private val followRules = FollowRules(staleMs = bounds.keyWithdrawalMs * STALE_PERCENT / PERCENT)
     private val configuration: ConfigurationView =
         ConfigurationView(store, proof, loop.scope, storeHealth, followRules, vouching::isReader) {
             // Peers count the age of this read from their own last message, so it is passed on at once.
@@ -80,7 +80,7 @@
             settings.failureDomain,
             placement,
             exchange::open,
-            RetryAllowance(clock, retryRules()) { peers.alive().size + 1 },
+            RetryAllowance(clock, retryRules()) { peers.destinations().size + 1 },
             RelayEvents(
                 onRun = { request -> request.customer?.let { counters.add(it, trueWallMs()) } },
                 onAttemptFailed = { request, server, failure ->
@@ -227,7 +227,7 @@
 
     // Each host keeps to its part of the common bound; with fewer hosts than assumed the bound is not used up.
     private fun retryRules() = RetryRules(
-        ratio = bounds.retryRatioPercent * RETRY_PART / PERCENT,
+        ratio = bounds.retryRatio * RETRY_PART,
         slack = bounds.retrySlack,
         windowMs = bounds.retryWindowMs,
     )
@@ -254,7 +254,7 @@
 
         // Leaves a quarter for requests that are counted in another window by the platform.
         const val RETRY_PART = 0.75
-        const val PERCENT = 100.0
+        const val PERCENT = 100
 
         // Requests in flight beside the one that crashes a server are blamed once with it. A third crash under the same
         // request without a whole answer in between is no coincidence, and callers are promised no more than three.
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/DaemonSettings.kt
@@ -36,7 +36,7 @@
     val graceMs: Long,
     val leaseTermMs: Long,
     val usageWindowMs: Long,
-    val retryRatioPercent: Int,
+    val retryRatio: Double,
     val retrySlack: Int,
     val retryWindowMs: Long,
     val directoryLifetimeMs: Long,
@@ -78,24 +78,29 @@
             bounds = reader.table("bounds").let(::bounds),
         )
 
+        // The platform states its bounds as whole numbers or fractions.
         private fun bounds(reader: SettingsReader) = BoundSettings(
-            keyWithdrawalMs = reader.long("keyWithdrawalMs", KEY_WITHDRAWAL_MS),
-            graceMs = reader.long("graceMs", GRACE_MS),
-            leaseTermMs = reader.long("leaseTermMs", LEASE_TERM_MS),
-            usageWindowMs = reader.long("usageWindowMs", USAGE_WINDOW_MS),
-            retryRatioPercent = reader.int("retryRatioPercent", 0..MAX_PERCENT),
-            retrySlack = reader.int("retrySlack", 0..MAX_SLACK),
-            retryWindowMs = reader.long("retryWindowMs", RETRY_WINDOW_MS),
-            directoryLifetimeMs = reader.long("directoryLifetimeMs", DIRECTORY_LIFETIME_MS),
+            keyWithdrawalMs = reader.number("keyWithdrawalMs", KEY_WITHDRAWAL_MS).toLong(),
+            graceMs = reader.secondsAsMs("graceS", GRACE_S),
+            leaseTermMs = reader.number("leaseTermMs", LEASE_TERM_MS).toLong(),
+            usageWindowMs = reader.secondsAsMs("usageWindowS", USAGE_WINDOW_S),
+            retryRatio = reader.number("retryRatio", 0.0..MAX_RATIO),
+            retrySlack = reader.number("retrySlack", 0.0..MAX_SLACK).toInt(),
+            retryWindowMs = reader.secondsAsMs("retryWindowS", RETRY_WINDOW_S),
+            directoryLifetimeMs = reader.secondsAsMs("directoryLifetimeS", DIRECTORY_LIFETIME_S),
         )
 
-        private val KEY_WITHDRAWAL_MS = 1_000L..600_000L
-        private val GRACE_MS = 1_000L..600_000L
-        private val LEASE_TERM_MS = 1_000L..60_000L
-        private val USAGE_WINDOW_MS = 1_000L..3_600_000L
-        private val RETRY_WINDOW_MS = 1_000L..600_000L
-        private val DIRECTORY_LIFETIME_MS = 100L..600_000L
-        private const val MAX_PERCENT = 1_000
-        private const val MAX_SLACK = 1_000_000
+        private fun SettingsReader.secondsAsMs(name: String, range: ClosedFloatingPointRange<Double>): Long =
+            (number(name, range) * MS_PER_S).toLong()
+
+        private val KEY_WITHDRAWAL_MS = 1_000.0..600_000.0
+        private val GRACE_S = 1.0..600.0
+        private val LEASE_TERM_MS = 1_000.0..60_000.0
+        private val USAGE_WINDOW_S = 1.0..3_600.0
+        private val RETRY_WINDOW_S = 1.0..600.0
+        private val DIRECTORY_LIFETIME_S = 0.1..600.0
+        private const val MAX_RATIO = 10.0
+        private const val MAX_SLACK = 1_000_000.0
+        private const val MS_PER_S = 1_000
     }
 }
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Vouching.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Vouching.kt
@@ -33,7 +33,7 @@
     /** What this host may tell: the ends of the topics as it read them at [readAt]; null if that is of no use. */
     fun vouch(configurationEnd: LogOffset, serversEnd: LogOffset, readAt: Moment?): Vouch? {
         if (readAt == null || !isReader() || now().monotonic - readAt.monotonic > MAX_AGE_MS) return null
-        return Vouch(configurationEnd, serversEnd, peers.heardBefore(readAt.monotonic))
+        return Vouch(configurationEnd, serversEnd, peers.heardBefore(readAt.monotonic, MAX_HEARD))
     }
 
     /** When this host sent the message that [vouch] proves to be older than the read; null if it names none. */
@@ -46,6 +46,9 @@
         // Longer than a read of a reader waits.
         const val MAX_AGE_MS = 1_500L
 
+        // Keeps a status within one datagram. Hosts that are left out read for themselves.
+        const val MAX_HEARD = 128
+
         // More than are sent within the age that a proof may have.
         const val KEPT_MESSAGES = 64
     }
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonSettingsTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonSettingsTest.kt
@@ -24,9 +24,10 @@
             .replace("{{ip}}", "10.1.0.19")
             .replace("{{port-range.0}}", "7340")
             .replace("{{bounds.revoke-ms}}", "5000")
-            .replace("{{bounds.grace-s}}", "8")
+            .replace("{{bounds.grace-s}}", "7.5")
             .replace("{{bounds.lease-ms}}", "3000")
             .replace("{{bounds.report-window-s}}", "5")
+            .replace("{{bounds.budget-ratio}}", "0.25")
             .replace("{{bounds.budget-slack}}", "56")
             .replace("{{bounds.budget-window-s}}", "10")
             .replace("{{bounds.ttl_max_s}}", "5")
@@ -35,7 +36,10 @@
     fun `guards against a template that gives settings the daemon does not take`() {
         val settings = DaemonSettings.read(text).getOrNull()!!
         settings.bounds.keyWithdrawalMs shouldBe 5_000
-        settings.bounds.graceMs shouldBe 8_000
+        settings.bounds.graceMs shouldBe 7_500
+        settings.bounds.usageWindowMs shouldBe 5_000
+        settings.bounds.retryRatio shouldBe 0.25
+        settings.bounds.retrySlack shouldBe 56
         settings.listen.mesh.port shouldBe 7_340
         settings.contacts.size shouldBe 2
     }
@@ -47,6 +51,9 @@
                 "host = \"edge-a-1\"" to "" to "host: missing",
                 "host = \"edge-a-1\"" to "host = 7" to "host: expected a non-empty string",
                 "keyWithdrawalMs = 5000" to "keyWithdrawalMs = 10" to "bounds.keyWithdrawalMs: expected a value",
+                "retryRatio = 0.25" to "retryRatio = \"x\"" to "bounds.retryRatio: expected a number",
+                "retryRatio = 0.25" to "retryRatio = 11" to "bounds.retryRatio: expected a value from 0.0 to 10.0, found 11.0",
+                "retryRatio = 0.25" to "" to "bounds.retryRatio: missing",
                 "store = \"10.200.1.7:8223\"" to "store = \"store.example:1\"" to "store: expected IP:PORT",
                 "[listen]" to "[listen]\nunknown = 1" to "listen.unknown: unknown name",
                 "[bounds]" to "[bounds" to "line",
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/VouchingTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/VouchingTest.kt
@@ -64,7 +64,7 @@
         nowMs = 2_300
         reader.peers.receive(other.status())
         nowMs = 9_000
-        other.vouching.momentOf(reader.vouchFor(readAtMs) ?: Vouch(LogOffset(5), LogOffset(6), reader.peers.heardBefore(TimeMs(readAtMs)))) shouldBe
+        other.vouching.momentOf(reader.vouchFor(readAtMs) ?: Vouch(LogOffset(5), LogOffset(6), reader.peers.heardBefore(TimeMs(readAtMs), 9))) shouldBe
             Moment(TimeMs(1_000), 1_000)
     }
 
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
@@ -1,6 +1,7 @@
 /** Sends the own status to all peers at a steady interval and receives theirs, one datagram each. */
 package org.hickorytiller.mesh
 
+import io.github.oshai.kotlinlogging.KotlinLogging
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
@@ -30,6 +31,7 @@
     private val rules: MeshRules = MeshRules(),
 ) {
     private var channel: Channel? = null
+    private var wasTooLong = false
 
     /** Starts receiving. Throws [java.net.BindException] if the address is in use. */
     fun listen() {
@@ -56,10 +58,21 @@
     /** Sends the status to all peers now. */
     fun announce() {
         val bytes = encodeStatus(build())
-        if (bytes.size > MAX_DATAGRAM_BYTES) return
+        if (isTooLong(bytes)) return
         peers.destinations().filter { it != address }.forEach { send(bytes, it) }
     }
 
+    private fun isTooLong(bytes: ByteArray): Boolean {
+        val isTooLong = bytes.size > MAX_DATAGRAM_BYTES
+        if (isTooLong &&
+            !wasTooLong
+        ) {
+            log.error { "event=status_too_long bytes=${bytes.size} limit=$MAX_DATAGRAM_BYTES" }
+        }
+        wasTooLong = isTooLong
+        return isTooLong
+    }
+
     private fun send(bytes: ByteArray, to: InetSocketAddress) {
         channel?.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(bytes), to))
     }
@@ -82,6 +95,7 @@
     }
 
     private companion object {
+        val log = KotlinLogging.logger {}
         const val MAX_DATAGRAM_BYTES = 16_384
         const val INTERVAL_PER_HOST_MS = 15L
     }
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/PeerTable.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/PeerTable.kt
@@ -54,10 +54,13 @@
         return heard.values.filter { it.at >= oldest }.map { it.status }
     }
 
-    /** The newest message of each host that had arrived before [at]; a host without one is left out. */
-    fun heardBefore(at: TimeMs): Map<HostId, MessageId> = heard.entries.mapNotNull { (host, known) ->
-        known.arrivals.lastOrNull { it.first < at }?.let { host to MessageId(known.status.run, it.second) }
-    }.toMap()
+    /** The newest message that had arrived before [at], for each of up to [most] hosts that have sent one. */
+    fun heardBefore(at: TimeMs, most: Int): Map<HostId, MessageId> = heard.entries.asSequence()
+        .mapNotNull { (host, known) ->
+            known.arrivals.lastOrNull { it.first < at }?.let { host to MessageId(known.status.run, it.second) }
+        }
+        .take(most)
+        .toMap()
 
     /** The requests in flight of all hosts that are alive, by server. */
     fun load(): Map<BackendServerId, ServerLoad> {
--- a/mesh/src/test/kotlin/org/hickorytiller/mesh/PeerTableTest.kt
+++ b/mesh/src/test/kotlin/org/hickorytiller/mesh/PeerTableTest.kt
@@ -96,13 +96,16 @@
         table.receive(status("a", 1))
         nowMs = 100
         table.receive(status("a", 2))
-        table.heardBefore(TimeMs(0)) shouldBe emptyMap()
-        table.heardBefore(TimeMs(100)) shouldBe mapOf(HostId("a") to MessageId(ProcessId("run"), 1))
-        table.heardBefore(TimeMs(101)) shouldBe mapOf(HostId("a") to MessageId(ProcessId("run"), 2))
+        table.heardBefore(TimeMs(0), 9) shouldBe emptyMap()
+        table.heardBefore(TimeMs(100), 9) shouldBe mapOf(HostId("a") to MessageId(ProcessId("run"), 1))
+        table.heardBefore(TimeMs(101), 9) shouldBe mapOf(HostId("a") to MessageId(ProcessId("run"), 2))
         table.receive(status("a", 1, run = "next"))
-        table.heardBefore(TimeMs(101)) shouldBe mapOf(HostId("a") to MessageId(ProcessId("next"), 1))
+        table.heardBefore(TimeMs(101), 9) shouldBe mapOf(HostId("a") to MessageId(ProcessId("next"), 1))
         repeat(99) { table.receive(status("a", 2L + it, run = "next")) }
-        table.heardBefore(TimeMs(100)) shouldBe emptyMap()
+        table.heardBefore(TimeMs(100), 9) shouldBe emptyMap()
+        nowMs = 200
+        repeat(20) { table.receive(status("host-$it", 1)) }
+        table.heardBefore(TimeMs(201), 9).size shouldBe 9
     }
 
     @Test
--- a/relay/src/main/kotlin/org/hickorytiller/relay/RetryAllowance.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/RetryAllowance.kt
@@ -15,7 +15,7 @@
  */
 data class RetryRules(val ratio: Double, val slack: Int, val windowMs: Long)
 
-/** Counts the hosts that share the bound. */
+/** Counts the hosts that share the bound; one that may be dead counts, since it may only be slow. */
 typealias CountHosts = () -> Int
 
 /** Repeats of one host, by pool. */
--- a/standins/src/main/kotlin/org/hickorytiller/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/hickorytiller/standins/EngineStandIn.kt
@@ -135,28 +135,31 @@
         }
         awaitSlot(head.headers["x-priority"]?.toIntOrNull() ?: 0)
         try {
-            started++
+            val answerId = "chatcmpl-$name-${++started}"
             delay(control.firstTokenMs)
             val from = head.headers["x-resume-from"]?.toIntOrNull() ?: 0
             return if (request.path("stream").asBoolean()) {
-                stream(connection, request, from, idOf(head))
+                stream(connection, StreamAnswer(request, answerId, from), idOf(head))
             } else {
-                whole(connection, request, idOf(head))
+                whole(connection, request, answerId, idOf(head))
             }
         } finally {
             releaseSlot()
         }
     }
 
-    private suspend fun stream(connection: ServerConnection, request: JsonNode, from: Int, id: Headers): Boolean {
+    /** A streamed answer called [id] that begins with the token numbered [from]. */
+    private class StreamAnswer(val request: JsonNode, val id: String, val from: Int)
+
+    private suspend fun stream(connection: ServerConnection, answer: StreamAnswer, id: Headers): Boolean {
         val headers = Headers(id.fields + Headers.Field("content-type", "text/event-stream"))
         if (!connection.startResponse(200, headers)) return false
-        val tokens = request.path("max_tokens").asInt(DEFAULT_TOKENS)
-        for (index in from until tokens) {
-            if (index > from) delay(control.betweenTokensMs)
+        val tokens = answer.request.path("max_tokens").asInt(DEFAULT_TOKENS)
+        for (index in answer.from until tokens) {
+            if (index > answer.from) delay(control.betweenTokensMs)
             if (control.stalled) awaitCancellationOrClose(connection)
             val finish = if (index == tokens - 1) "stop" else null
-            val chunk = chunk(request, index, finish)
+            val chunk = chunk(answer, index, finish)
             if (index == control.closeAfterTokens && control.cuts > 0) return cut(connection, chunk)
             if (!connection.writeChunk("data: $chunk\n\n".toByteArray())) return false
         }
@@ -172,7 +175,12 @@
         return false
     }
 
-    private suspend fun whole(connection: ServerConnection, request: JsonNode, id: Headers): Boolean {
+    private suspend fun whole(
+        connection: ServerConnection,
+        request: JsonNode,
+        answerId: String,
+        id: Headers,
+    ): Boolean {
         val tokens = request.path("max_tokens").asInt(DEFAULT_TOKENS)
         delay(control.betweenTokensMs * tokens)
         if (control.stalled) awaitCancellationOrClose(connection)
@@ -181,22 +189,28 @@
         val choice = mapOf("index" to 0, "message" to message, "finish_reason" to "stop")
         val answer =
             mapOf(
-                "id" to "chatcmpl-$name-$started",
+                "id" to answerId,
                 "object" to "chat.completion",
                 "model" to request.path("model").asText(),
                 "choices" to listOf(choice),
-                "usage" to mapOf("prompt_tokens" to promptTokens(request), "completion_tokens" to tokens),
+                "usage" to usage(promptTokens(request), tokens),
             )
         return connection.respondJson(200, answer, id)
     }
 
-    private fun chunk(request: JsonNode, index: Int, finish: String?): String {
+    private fun usage(promptTokens: Int, tokens: Int) = mapOf(
+        "prompt_tokens" to promptTokens,
+        "completion_tokens" to tokens,
+        "total_tokens" to promptTokens + tokens,
+    )
+
+    private fun chunk(answer: StreamAnswer, index: Int, finish: String?): String {
         val choice = mapOf("index" to 0, "delta" to mapOf("content" to "t$index "), "finish_reason" to finish)
         return json.writeValueAsString(
             mapOf(
-                "id" to "chatcmpl-$name",
+                "id" to answer.id,
                 "object" to "chat.completion.chunk",
-                "model" to request.path("model").asText(),
+                "model" to answer.request.path("model").asText(),
                 "choices" to listOf(choice),
             ),
         )
