--- a/http/src/main/kotlin/org/hickorytiller/http/HttpStatus.kt
+++ b/http/src/main/kotlin/org/hickorytiller/http/HttpStatus.kt
@@ -22,4 +22,5 @@
     const val BAD_GATEWAY = 502
     const val SERVICE_UNAVAILABLE = 503
     const val GATEWAY_TIMEOUT = 504
+    const val INSUFFICIENT_STORAGE = 507
 }
--- a/http/src/test/kotlin/org/hickorytiller/http/HttpClientTest.kt
+++ b/http/src/test/kotlin/org/hickorytiller/http/HttpClientTest.kt
@@ -14,7 +14,11 @@
 import kotlin.concurrent.thread
 
 /** A server that sends exactly the bytes that a test gives for each request. */
-private class RawServer(private val answers: List<String>, private val closeAfter: Boolean = false) : AutoCloseable {
+private class RawServer(
+    private val answers: List<String>,
+    private val closeAfter: Boolean = false,
+    private val resetAfter: Boolean = false,
+) : AutoCloseable {
     private val socket = ServerSocket(0)
     private val served = AtomicInteger()
     val connections = AtomicInteger()
@@ -37,7 +41,12 @@
             if (line.isNotEmpty()) continue
             val answer = answers.getOrNull(served.getAndIncrement()) ?: return@use
             it.getOutputStream().write(answer.toByteArray())
-            if (closeAfter) return@use
+            if (resetAfter) {
+                // The client must have read what was sent, which the reset would discard.
+                Thread.sleep(100)
+                it.setSoLinger(true, 0)
+            }
+            if (closeAfter || resetAfter) return@use
         }
     }
 
@@ -123,6 +132,26 @@
         }
     }
 
+    @Test
+    fun `guards against an answer without a length that is not whole, or whole and not taken`() {
+        val unframed = "HTTP/1.1 200 OK\r\n\r\nabc"
+        RawServer(listOf(unframed), closeAfter = true).use { server -> onLoop { get(server).getOrNull() } shouldBe "abc" }
+        RawServer(listOf(unframed), resetAfter = true).use { server -> onLoop { get(server).isLeft() } shouldBe true }
+        RawServer(listOf(unframed)).use { server -> onLoop { get(server).leftOrNull() } shouldBe HttpFault.TIMEOUT }
+    }
+
+    @Test
+    fun `guards against another request in place of the rest of a body whose answer came early`() {
+        RawServer(listOf(ok("early"), ok("two"))).use { server ->
+            // Larger than the socket buffers, so that a part of it is not written when the answer arrives.
+            val body = ByteArray(32_000_000)
+            val first = onLoop { client.call(server.address, RequestHead("POST", "/"), body, timeoutMs = 2_000) }
+            String(first.getOrNull()!!.body) shouldBe "early"
+            onLoop { get(server).getOrNull() } shouldBe "two"
+            server.connections.get() shouldBe 2
+        }
+    }
+
     @Test
     fun `guards against a server that cannot be reached and is taken for one that may have run the request`() {
         val address = ServerSocket(0).use { InetSocketAddress("127.0.0.1", it.localPort) }
--- /dev/null
+++ b/mesh/src/test/kotlin/org/hickorytiller/mesh/StatusSizeTest.kt
@@ -0,0 +1,87 @@
+package org.hickorytiller.mesh
+
+import io.kotest.assertions.withClue
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.comparables.shouldBeLessThanOrEqualTo
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.CustomerId
+import org.hickorytiller.core.HostId
+import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.ProcessId
+import org.hickorytiller.placement.PartId
+import org.hickorytiller.placement.PartNews
+import org.hickorytiller.placement.ServerLoad
+import org.hickorytiller.quarantine.Blame
+import org.hickorytiller.quarantine.RequestFingerprint
+import org.hickorytiller.quarantine.ServerRun
+import java.net.InetSocketAddress
+import kotlin.random.Random
+
+/** Size and cost of a reader's status, the longest kind, with all its lists filled as the daemon bounds them. */
+class StatusSizeTest : AnnotationSpec() {
+    private class Size(val hosts: Int, val servers: Int, val customers: Int)
+
+    private val sizes = listOf(Size(8, 13, 10), Size(65, 63, 24), Size(128, 330, 1_000), Size(360, 940, 24_000))
+
+    // A host of the long run serves 21 requests a second and has about as many in flight.
+    private fun status(size: Size): HostStatus {
+        val random = Random(7)
+        val servers = List(size.servers) { BackendServerId("i-%010x".format(random.nextLong(1L shl 40))) }
+        val address = InetSocketAddress("10.200.100.100", 65_000)
+        return HostStatus(
+            HostId("edge-cl-central-a-123"),
+            ProcessId("edge-cl-central-a-123-miqd0vxz"),
+            sequence = 1_000_000,
+            address,
+            address,
+            takesCallers = true,
+            leaseEnd = LogOffset(1_000_000),
+            wallMs = 1_796_387_703_962,
+            load = servers.take(25).associateWith { ServerLoad(3, 50_000) },
+            parts = List(64) { PartNews(PartId(random.nextLong()), servers.random(random), random.nextLong(1_600)) },
+            blames = emptyList(),
+            usage = (0L..2L).associate { window -> WindowNumber(358_065_716 + window) to counts(size) },
+            vouch = Vouch(LogOffset(1_000), LogOffset(100_000), heard(minOf(size.hosts, 128))),
+            peers = List(16) { address },
+        )
+    }
+
+    // A window of 5 s holds about 100 requests of a host, most of them of different customers.
+    private fun counts(size: Size) = (1..minOf(size.customers, 70)).associate { CustomerId("customer-$it") to 3L }
+
+    private fun heard(hosts: Int) = (1..hosts).associate { host ->
+        HostId("edge-cl-central-a-$host") to MessageId(ProcessId("edge-cl-central-a-$host-miqd0vxz"), 1_000L + host)
+    }
+
+    @Test
+    fun `guards against a status that outgrows a datagram as hosts, servers and customers grow`() {
+        sizes.forAll { size ->
+            val status = status(size)
+            val bytes = encodeStatus(status)
+            repeat(ROUNDS) { decodeStatus(encodeStatus(status)) }
+            val encodeUs = microseconds { encodeStatus(status) }
+            val decodeUs = microseconds { decodeStatus(bytes) }
+            println("status of ${size.hosts} hosts: ${bytes.size} bytes, encode $encodeUs us, decode $decodeUs us")
+            withClue(size.hosts) { bytes.size shouldBeLessThanOrEqual 16_384 }
+        }
+    }
+
+    @Test
+    fun `guards against crashes in a row that push a status over the limit`() {
+        val blames = List(64) { Blame(RequestFingerprint("deadbeef-30-17000-customer-$it"), ServerRun(BackendServerId("i-0123456789"), 1_796_387_703_962), 900) }
+        val largest = status(sizes[1]).copy(blames = blames)
+        encodeStatus(largest).size.toLong() shouldBeLessThanOrEqualTo 16_384L
+    }
+
+    private fun microseconds(work: () -> Unit): Long {
+        val begin = System.nanoTime()
+        repeat(ROUNDS) { work() }
+        return (System.nanoTime() - begin) / ROUNDS / 1_000
+    }
+
+    private companion object {
+        const val ROUNDS = 300
+    }
+}
