Keep servers whose entries lapsed in an outage that only missing proofs show, and share two twins

Cause: a host that waits up to 20 s for a change may not have a failed call when the store returns from an outage of less than 4 s. It then took entries that had lapsed for servers that are gone, until they came back within two seconds.

Ruled out: shorter waits, which bring the calls back; a failure noted whenever a wait is given up, since the loss of two readers is no outage of the store.

Change: an entry that goes missing when nothing has proven the list for 2.6 s is kept for 1.7 s, as after a failed call. `Moment` moves to core with the comparison of the clocks, for the proof and the lease.

Figures: ServerViewTest guards both directions; with the new condition taken out its second case cannot hold, since the server is then removed at once.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ConfigurationView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ConfigurationView.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.Moment
 import org.hickorytiller.platform.CONFIGURATION_KEY
 import org.hickorytiller.platform.FollowRules
 import org.hickorytiller.platform.IsReader
@@ -20,7 +21,6 @@
 import org.hickorytiller.platform.StoreFailure
 import org.hickorytiller.platform.decodeConfiguration
 import org.hickorytiller.routes.FreshnessProof
-import org.hickorytiller.routes.Moment
 import org.hickorytiller.routes.RouteTable
 
 /** Told when a read of this host has proven the configuration. */
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
@@ -9,6 +9,7 @@
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.Clock
 import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.Moment
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.placement.Placement
 import org.hickorytiller.platform.FollowRules
@@ -19,7 +20,6 @@
 import org.hickorytiller.platform.SERVER_TOPIC
 import org.hickorytiller.platform.StoreClient
 import org.hickorytiller.platform.decodeServer
-import org.hickorytiller.routes.Moment
 
 /** Told when a server has left the list. */
 internal typealias OnServerGone = (BackendServer) -> Unit
@@ -96,8 +96,7 @@
      */
     private fun missing(id: BackendServerId) {
         if (id !in servers) return
-        val outage = health.lastFailure?.let { clock() - it < OUTAGE_MEMORY_MS } ?: false
-        if (!outage) return remove(id, "removed")
+        if (!isNearOutage()) return remove(id, "removed")
         if (missingSince.putIfAbsent(id, clock()) != null) return
         scope.launch {
             delay(RETURN_MS)
@@ -108,6 +107,13 @@
         }
     }
 
+    // A host that waits long for a change may notice an outage only by the proofs that stay away.
+    private fun isNearOutage(): Boolean {
+        val hasFailed = health.lastFailure?.let { clock() - it < OUTAGE_MEMORY_MS } ?: false
+        val lacksProof = follower.provenAgeMs?.let { it > LONGEST_PROOF_GAP_MS } ?: false
+        return hasFailed || lacksProof
+    }
+
     private fun remove(id: BackendServerId, reason: String) {
         val server = servers.remove(id) ?: return
         missingSince -= id
@@ -122,6 +128,9 @@
         // Servers come and go many at a time, and each read is paid for. A leaving server must be known within 2 s.
         const val GATHER_MS = 400L
 
+        // Readers tell how far the topic goes about every second; one lost message does not count as an outage.
+        const val LONGEST_PROOF_GAP_MS = 2_600L
+
         // Entries that lapsed during an outage are back within two seconds of its end.
         const val OUTAGE_MEMORY_MS = 4_000L
         const val RETURN_MS = 1_700L
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Vouching.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Vouching.kt
@@ -7,10 +7,10 @@
 
 import org.hickorytiller.core.HostId
 import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.Moment
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.mesh.PeerTable
 import org.hickorytiller.mesh.Vouch
-import org.hickorytiller.routes.Moment
 
 /** Vouches of the run [process] of [host]. Confined to the event loop. */
 internal class Vouching(
--- /dev/null
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/ServerViewTest.kt
@@ -0,0 +1,94 @@
+package org.hickorytiller.daemon
+
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.withContext
+import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.Moment
+import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.monotonicClock
+import org.hickorytiller.http.EventLoop
+import org.hickorytiller.http.HttpClient
+import org.hickorytiller.http.HttpLimits
+import org.hickorytiller.placement.Placement
+import org.hickorytiller.platform.FollowRules
+import org.hickorytiller.platform.StoreClient
+import org.hickorytiller.standins.PlatformStoreStandIn
+import java.net.InetSocketAddress
+
+class ServerViewTest : AnnotationSpec() {
+    private lateinit var loop: EventLoop
+    private lateinit var store: PlatformStoreStandIn
+    private lateinit var view: ServerView
+    private lateinit var placement: Placement
+
+    @BeforeEach
+    fun start() {
+        loop = EventLoop()
+        store = PlatformStoreStandIn()
+        placement = Placement(monotonicClock)
+        val server = store.start(loop.group, loop.scope, InetSocketAddress("127.0.0.1", 0))
+        view =
+            ServerView(
+                StoreClient(HttpClient(loop.group, HttpLimits()), server.address),
+                monotonicClock,
+                { Moment(monotonicClock(), System.currentTimeMillis()) },
+                loop.scope,
+                placement,
+                DependencyHealth("store", monotonicClock),
+                FollowRules(staleMs = 60_000, waitMs = 30),
+                isReader = { false },
+            )
+        onLoop {
+            val entry = """{"service":"p","addr":"127.0.0.1:9","zone":"z","slots":6,"state":"ready","born":1}"""
+            store.put(TOPIC, "i-1", entry)
+        }
+        loop.scope.launch { view.run() }
+        await { servers() == 1 }
+        onLoop { view.vouched(LogOffset(1)) }
+        runBlocking { delay(200) }
+    }
+
+    @AfterEach
+    fun stop() = loop.close()
+
+    private fun <T> onLoop(block: suspend () -> T): T = runBlocking { withContext(loop.scope.coroutineContext) { block() } }
+
+    private fun servers() = placement.servers(PoolId("p")).size
+
+    /** Waits for [condition] and returns how long it took; fails after ten seconds, which no healthy run needs. */
+    private fun await(condition: () -> Boolean): Long {
+        val begunAt = monotonicClock()
+        while (!onLoop { condition() }) {
+            check(monotonicClock() - begunAt < 10_000) { "the condition did not come true" }
+            runBlocking { delay(10) }
+        }
+        return monotonicClock() - begunAt
+    }
+
+    @Test
+    fun `guards against a server that has left and is kept`() {
+        onLoop {
+            view.vouched(LogOffset(1))
+            store.put(TOPIC, "i-1", null)
+        }
+        await { servers() == 0 }
+    }
+
+    @Test
+    fun `guards against live servers that are dropped because their entries lapsed in an outage nobody noticed`() {
+        // Neither a read nor a peer's word tells anything meanwhile, as in an outage shorter than the stale limit.
+        runBlocking { delay(2_800) }
+        onLoop { store.put(TOPIC, "i-1", null) }
+        await { servers() == 0 } shouldBeGreaterThanOrEqual 1_500
+        onLoop { servers() } shouldBe 0
+    }
+
+    private companion object {
+        const val TOPIC = "keyed.servers"
+    }
+}
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/VouchingTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/VouchingTest.kt
@@ -4,13 +4,13 @@
 import io.kotest.matchers.shouldBe
 import org.hickorytiller.core.HostId
 import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.Moment
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.mesh.HostStatus
 import org.hickorytiller.mesh.MessageId
 import org.hickorytiller.mesh.PeerTable
 import org.hickorytiller.mesh.Vouch
-import org.hickorytiller.routes.Moment
 import java.net.InetSocketAddress
 
 class VouchingTest : AnnotationSpec() {
--- a/leases/src/main/kotlin/org/hickorytiller/leases/ConditionalLease.kt
+++ b/leases/src/main/kotlin/org/hickorytiller/leases/ConditionalLease.kt
@@ -10,10 +10,9 @@
 
 import org.hickorytiller.core.Clock
 import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.Moment
 import org.hickorytiller.core.TimeMs
-
-/** Gives the time of day in milliseconds since 1970. */
-typealias ReadWallClock = () -> Long
+import org.hickorytiller.core.WallClock
 
 /**
  * @property termMs time for which a holder acts after it sent its last successful append
@@ -32,14 +31,13 @@
 class ConditionalLease(
     private val own: ClaimId,
     private val clock: Clock,
-    private val wallClock: ReadWallClock,
+    private val wallClock: WallClock,
     private val rules: LeaseRules = LeaseRules(),
 ) {
     private var end: LogOffset? = null
     private var isEmpty = false
     private var seenSince = TimeMs(0)
-    private var heldFrom: TimeMs? = null
-    private var heldFromWallMs = 0L
+    private var heldFrom: Moment? = null
 
     /** Fencing token of the lease if this process has held it; it grows with every holder. */
     var token: Long? = null
@@ -75,15 +73,14 @@
     }
 
     /** Whether it is time to renew. */
-    fun isRenewalDue(): Boolean = heldFrom?.let { clock() - it >= rules.renewMs || !holds() } ?: false
+    fun isRenewalDue(): Boolean = heldFrom?.let { clock() - it.monotonic >= rules.renewMs || !holds() } ?: false
 
     /** Takes the success of an append sent at [sentAt] on the monotonic clock and [sentAtWallMs] on the wall clock. */
     fun appended(offset: LogOffset, sentAt: TimeMs, sentAtWallMs: Long) {
         end = offset.next()
         isEmpty = false
         if (token == null) token = offset.value + 1
-        heldFrom = sentAt
-        heldFromWallMs = sentAtWallMs
+        heldFrom = Moment(sentAt, sentAtWallMs)
     }
 
     /** Takes the refusal of an append because the log has gone on: another process may hold the lease. */
@@ -95,10 +92,8 @@
     /** Whether this process may act under [token] now. False after a suspension, until a renewal succeeds. */
     fun holds(): Boolean {
         val from = heldFrom ?: return false
-        val elapsedMs = clock() - from
-        val wallElapsedMs = wallClock() - heldFromWallMs
-        val clocksAgree = wallElapsedMs - elapsedMs in -rules.maxDisagreementMs..rules.maxDisagreementMs
-        return clocksAgree && elapsedMs < rules.termMs
+        val now = Moment(clock(), wallClock())
+        return from.agreesWith(now, rules.maxDisagreementMs) && now.monotonic - from.monotonic < rules.termMs
     }
 
     private fun drop() {
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
@@ -102,13 +102,15 @@
     return Blame(RequestFingerprint(node.path(0).asText()), server, node.path(BLAME_AGE).asLong())
 }
 
-private fun ObjectNode.putCounts(counts: UsageCounts) = counts.forEach { (customer, count) ->
+/** Writes [counts] as fields of this node, one for each customer. */
+fun ObjectNode.putCounts(counts: UsageCounts) = counts.forEach { (customer, count) ->
     put(customer.value, count)
 }
 
 private fun decodeLoad(node: JsonNode) = ServerLoad(node.path(0).asInt(), node.path(1).asInt())
 
-private fun decodeCounts(node: JsonNode): UsageCounts = node.entries { it.asLong() }.mapKeys { CustomerId(it.key) }
+/** The counts in the fields of [node]. */
+fun decodeCounts(node: JsonNode): UsageCounts = node.entries { it.asLong() }.mapKeys { CustomerId(it.key) }
 
 private fun <T> JsonNode.entries(decode: (JsonNode) -> T): Map<String, T> =
     properties().associate { it.key to decode(it.value) }
--- a/routes/src/main/kotlin/org/hickorytiller/routes/FreshnessProof.kt
+++ b/routes/src/main/kotlin/org/hickorytiller/routes/FreshnessProof.kt
@@ -2,20 +2,14 @@
  * Proves how old this host's view of the configuration is. A withdrawn key must stop working within a bound on every
  * host, also on one that was cut off or suspended, so keyed requests are served only under a recent proof.
  *
- * The age counts from when a successful read was sent: the answer shows at least the state of that moment. The
- * monotonic clock stands still while a host is suspended and the time of day may jump, so a proof is void as soon as
- * the two disagree about the time since it was made. A new read then gives a new one.
+ * The age counts from when a successful read was sent: the answer shows at least the state of that moment. A
+ * proof is void as soon as the clocks disagree about the time since it was made. A new read then gives a new one.
  */
 package org.hickorytiller.routes
 
 import org.hickorytiller.core.Clock
-import org.hickorytiller.core.TimeMs
-
-/** Gives the time of day in milliseconds since 1970. */
-typealias WallClock = () -> Long
-
-/** A moment on both clocks. */
-data class Moment(val monotonic: TimeMs, val wallMs: Long)
+import org.hickorytiller.core.Moment
+import org.hickorytiller.core.WallClock
 
 /**
  * @property maxAgeMs age from which a proof is too old
@@ -42,9 +36,5 @@
     /** Whether requests may rely on the configuration. */
     fun holds(): Boolean = ageMs()?.let { it <= rules.maxAgeMs } ?: false
 
-    private fun isVoid(moment: Moment): Boolean {
-        val monotonicMs = clock() - moment.monotonic
-        val wallMs = wallClock() - moment.wallMs
-        return wallMs - monotonicMs !in -rules.maxDisagreementMs..rules.maxDisagreementMs
-    }
+    private fun isVoid(moment: Moment) = !moment.agreesWith(now(), rules.maxDisagreementMs)
 }
--- a/standins/src/test/kotlin/org/hickorytiller/standins/KeyedFollowerTest.kt
+++ b/standins/src/test/kotlin/org/hickorytiller/standins/KeyedFollowerTest.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.Moment
 import org.hickorytiller.core.StreamName
 import org.hickorytiller.core.monotonicClock
 import org.hickorytiller.http.EventLoop
@@ -21,7 +22,6 @@
 import org.hickorytiller.platform.KeyedUpdates
 import org.hickorytiller.platform.ProofSource
 import org.hickorytiller.platform.StoreClient
-import org.hickorytiller.routes.Moment
 import java.net.InetSocketAddress
 
 class KeyedFollowerTest : AnnotationSpec() {
