--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
@@ -41,7 +41,7 @@
         KeyedFollower(
             store,
             SERVER_TOPIC,
-            rules.copy(pauseMs = GATHER_MS),
+            rules,
             now,
             isReader,
             KeyedUpdates(
@@ -50,6 +50,7 @@
                 onProof = { _, _ -> },
                 onFailure = { health.failed(it.name.lowercase()) },
             ),
+            gatherMs = { if (isNearOutage()) 0 else GATHER_MS },
         )
 
     /** Follows the topic; does not return. */
@@ -125,7 +126,8 @@
     private companion object {
         val log = KotlinLogging.logger {}
 
-        // Servers come and go many at a time, and each read is paid for. A leaving server must be known within 2 s.
+        // Servers come and go many at a time, and each read is paid for. A leaving server must be known within 2 s; near
+        // an outage RETURN_MS uses that up, so nothing is gathered then.
         const val GATHER_MS = 400L
 
         // Readers tell how far the topic goes about every second; one lost message does not count as an outage.
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/ServerViewTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/ServerViewTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
+import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
@@ -25,12 +26,14 @@
     private lateinit var store: PlatformStoreStandIn
     private lateinit var view: ServerView
     private lateinit var placement: Placement
+    private lateinit var health: DependencyHealth
 
     @BeforeEach
     fun start() {
         loop = EventLoop()
         store = PlatformStoreStandIn()
         placement = Placement(monotonicClock)
+        health = DependencyHealth("store", monotonicClock)
         val server = store.start(loop.group, loop.scope, InetSocketAddress("127.0.0.1", 0))
         view =
             ServerView(
@@ -39,14 +42,11 @@
                 { Moment(monotonicClock(), System.currentTimeMillis()) },
                 loop.scope,
                 placement,
-                DependencyHealth("store", monotonicClock),
+                health,
                 FollowRules(staleMs = 60_000, waitMs = 30),
                 isReader = { false },
             )
-        onLoop {
-            val entry = """{"service":"p","addr":"127.0.0.1:9","zone":"z","slots":6,"state":"ready","born":1}"""
-            store.put(TOPIC, "i-1", entry)
-        }
+        onLoop { store.put(TOPIC, "i-1", ENTRY) }
         loop.scope.launch { view.run() }
         await { servers() == 1 }
         onLoop { view.vouched(LogOffset(1)) }
@@ -88,7 +88,26 @@
         onLoop { servers() } shouldBe 0
     }
 
+    /** What went wrong on andamio-cl, scale-2 --seed 298024510509: DRAIN, 2,014 ms. */
+    @Test
+    fun `guards against a server that is gone and gets work for more than two seconds after an outage`() {
+        onLoop {
+            store.outageStatus = 503
+            // Ends the read that waits.
+            store.put(TOPIC, "i-1", ENTRY)
+        }
+        await { health.lastFailure != null }
+        onLoop { store.outageStatus = null }
+        await { servers() == 1 }
+        runBlocking { delay(300) }
+        onLoop { store.put(TOPIC, "i-2", ENTRY) }
+        await { servers() == 2 }
+        onLoop { store.put(TOPIC, "i-1", null) }
+        await { servers() == 1 } shouldBeLessThan 2_000
+    }
+
     private companion object {
         const val TOPIC = "keyed.servers"
+        const val ENTRY = """{"service":"p","addr":"127.0.0.1:9","zone":"z","slots":6,"state":"ready","born":1}"""
     }
 }
