--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
@@ -126,8 +126,8 @@
     private companion object {
         val log = KotlinLogging.logger {}
 
-        // Servers come and go many at a time, and each read is paid for. A leaving server must be known within 2 s; near
-        // an outage RETURN_MS uses that up, so nothing is gathered then.
+        // Servers come and go many at a time, and each read is paid for. A leaving server must be known within 2 s.
+        // Near an outage RETURN_MS uses that up, so nothing is gathered then.
         const val GATHER_MS = 400L
 
         // Readers tell how far the topic goes about every second; one lost message does not count as an outage.
