Remove a property that only a test used

Cause: read over the whole change. CrashSuspects.hasQuarantines has no caller in main code.

Change: removed; RelayTest asks for the list of quarantines at the same moment, which is as strict, since none of its quarantines could have ended by then. Behaviour is unchanged.

--- a/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashSuspects.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashSuspects.kt
@@ -124,9 +124,6 @@
         return recentBlames.map { (at, blame) -> blame.copy(ageMs = now - at) }
     }
 
-    /** Whether any fingerprint is quarantined. */
-    val hasQuarantines: Boolean get() = quarantined.isNotEmpty()
-
     /** All quarantines in force, for peers. */
     fun quarantines(now: TimeMs): List<Quarantine> =
         quarantined.map { (request, until) -> Quarantine(request, until - now) }.filter { it.remainingMs > 0 }
--- a/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
+++ b/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
@@ -169,7 +169,7 @@
             nowMs += 5_000
             runBlocking { relay(listOf(Script.Fails(ExchangeFailure.LOST))).run(request(AnswerForm.WHOLE, repeatable = false), sink) }
         }
-        suspects.hasQuarantines shouldBe false
+        suspects.quarantines(TimeMs(nowMs)).shouldBeEmpty()
         attempts.size shouldBe 9
     }
 
