Keep long prompts off the servers of streams with short pauses

Cause: an engine prefills a prompt between the tokens of its running requests.

Ruled out: waiting for the first event (20 of 492 over the target), retries, full slots (128 a server, 5 to 9 in use).

Change: requests whose prompts take over a quarter of the shortest event gap target to prefill go to a group of servers of their own. A request leaves its group when the wait there is 300 ms longer.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -22,6 +22,7 @@
 import org.hickorytiller.metering.WindowReports
 import org.hickorytiller.metering.WindowUsageCounters
 import org.hickorytiller.placement.Placement
+import org.hickorytiller.placement.PlacementRules
 import org.hickorytiller.platform.BackendServerClient
 import org.hickorytiller.platform.DIRECTORY_PATH
 import org.hickorytiller.platform.DutyClient
@@ -67,7 +68,7 @@
             // the announcement makes the read look older.
             if (progressSharing.isReader()) mesh.announce()
         }
-    private val placement = Placement(clock)
+    private val placement = Placement(clock, PlacementRules(duplicatePrefillWindowMs = bounds.partReuseMs))
     private val servers =
         ServerView(store, clock, proof::now, loop.scope, placement, storeHealth, followRules, progressSharing::isReader)
     private val counters = WindowUsageCounters(process, bounds.usageWindowMs)
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/DaemonSettings.kt
@@ -30,6 +30,8 @@
  * @property retrySlack retries that all hosts together may send in addition
  * @property retryWindowMs time over which retries are counted
  * @property directoryLifetimeMs longest lifetime that a directory response may state
+ * @property partReuseMs time after its last use within which a part of a prompt counts as prefilled twice if another
+ *   server prefills it
  */
 data class BoundSettings(
     val keyWithdrawalMs: Long,
@@ -40,6 +42,7 @@
     val retrySlack: Int,
     val retryWindowMs: Long,
     val directoryLifetimeMs: Long,
+    val partReuseMs: Long,
 )
 
 /**
@@ -88,6 +91,7 @@
             retrySlack = reader.number("retrySlack", 0.0..MAX_SLACK).toInt(),
             retryWindowMs = reader.secondsAsMs("retryWindowS", RETRY_WINDOW_S),
             directoryLifetimeMs = reader.secondsAsMs("directoryLifetimeS", DIRECTORY_LIFETIME_S),
+            partReuseMs = reader.secondsAsMs("partReuseS", PART_REUSE_S),
         )
 
         private fun SettingsReader.secondsAsMs(name: String, range: ClosedFloatingPointRange<Double>): Long =
@@ -99,6 +103,7 @@
         private val USAGE_WINDOW_S = 1.0..3_600.0
         private val RETRY_WINDOW_S = 1.0..600.0
         private val DIRECTORY_LIFETIME_S = 0.1..600.0
+        private val PART_REUSE_S = 0.0..3_600.0
         private const val MAX_RATIO = 10.0
         private const val MAX_SLACK = 1_000_000.0
         private const val MS_PER_S = 1_000
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/WarmUp.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/WarmUp.kt
@@ -56,6 +56,7 @@
         retrySlack = 0,
         retryWindowMs = 10_000,
         directoryLifetimeMs = 5_000,
+        partReuseMs = 10_000,
     ),
 )
 
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonSettingsTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonSettingsTest.kt
@@ -31,6 +31,7 @@
             .replace("{{bounds.budget-slack}}", "56")
             .replace("{{bounds.budget-window-s}}", "10")
             .replace("{{bounds.ttl_max_s}}", "5")
+            .replace("{{bounds.retry-after-s}}", "6.3")
 
     @Test
     fun `the platform's template yields settings that the daemon accepts`() {
@@ -40,6 +41,7 @@
         settings.bounds.usageWindowMs shouldBe 5_000
         settings.bounds.retryRatio shouldBe 0.25
         settings.bounds.retrySlack shouldBe 56
+        settings.bounds.partReuseMs shouldBe 6_300
         settings.listen.mesh.port shouldBe 7_340
         settings.contacts.size shouldBe 2
     }
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonWorld.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonWorld.kt
@@ -52,7 +52,7 @@
                 contacts = emptyList(),
                 storeServer.address,
                 dutyServer.address,
-                BoundSettings(2_600, 8_000, 3_000, 1_000, 0.2, 56, 10_000, 5_000),
+                BoundSettings(2_600, 8_000, 3_000, 1_000, 0.2, 56, 10_000, 5_000, partReuseMs = 10_000),
             )
         daemon = Daemon(settings, loop, { settings.right() }) { }.also { it.start() }
         await { call(settings.listen.readiness, RequestHead("GET", "/ready")).status == 200 }
--- a/placement/src/main/kotlin/org/hickorytiller/placement/PartLocations.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/PartLocations.kt
@@ -48,10 +48,10 @@
         return clock() - at < rules.partCacheMs
     }
 
-    /** Whether [part] was sent to any server within the last [withinMs]. */
-    fun wasPrefilled(part: PromptPartId, withinMs: Long): Boolean {
+    /** Whether [part] was sent to any of [servers] within the last [withinMs]. */
+    fun wasPrefilled(part: PromptPartId, servers: Set<BackendServerId>, withinMs: Long): Boolean {
         val oldest = clock() - withinMs
-        return locations[part]?.values?.any { it >= oldest } ?: false
+        return locations[part]?.any { (server, at) -> at >= oldest && server in servers } ?: false
     }
 
     private fun record(part: PromptPartId, server: BackendServerId, at: TimeMs) {
--- a/placement/src/main/kotlin/org/hickorytiller/placement/Placement.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/Placement.kt
@@ -16,12 +16,18 @@
 import org.hickorytiller.core.PoolId
 import org.hickorytiller.core.TimeMs
 
-/** Requirements of a request. [hostDomain] is the failure domain of this host, within which traffic is free. */
+/**
+ * Requirements of a request.
+ *
+ * @property hostDomain failure domain of this host, within which traffic is free
+ * @property eventGapTargetMs target for the longest pause between two events of a stream; 0 if there is none
+ */
 data class PlacementRequest(
     val pool: PoolId,
     val prompt: Prompt?,
     val hostDomain: FailureDomain,
     val exclude: Set<BackendServerId> = emptySet(),
+    val eventGapTargetMs: Long = 0,
 )
 
 /** Requests in flight on one server, and the tokens of their prompts that are not processed yet. */
@@ -31,6 +37,7 @@
 class Placement(private val clock: Clock, private val rules: PlacementRules = PlacementRules()) {
     private val servers = HashMap<BackendServerId, Candidate>()
     private val partLocations = PartLocations(clock, rules)
+    private val isolations = HashMap<PoolId, PrefillIsolation>()
     private var peerLoad: Map<BackendServerId, ServerLoad> = emptyMap()
 
     /** Replaces the known servers. Keeps the state of a server that is still known, unless it was restarted. */
@@ -76,23 +83,36 @@
         if (usable.isEmpty()) return null
         val now = clock()
         val healthy = usable.filter { it.avoidedUntil <= now }.ifEmpty { usable }
-        val home = request.prompt?.lastSharedPart?.let { part ->
-            healthy.maxBy { rendezvousWeight(part, it.server.id) }
+        val prompt = request.prompt ?: return healthy.minBy { it.plainCostMs(request) }.server
+        val preferred = isolation(request.pool).preferred(request.eventGapTargetMs, healthy.map { it.server.id })
+        val home = prompt.lastSharedPart?.let { part ->
+            healthy.filter { it.server.id in preferred }.maxBy { rendezvousWeight(part, it.server.id) }
         }
-        return healthy.minBy { it.costMs(request, isHome = it === home) }.server
+        return healthy.minBy { candidate ->
+            val isolationCostMs = if (candidate.server.id in preferred) 0.0 else rules.isolationCostMs
+            candidate.costMs(request, prompt, preferred, isHome = candidate === home) + isolationCostMs
+        }.server
     }
 
-    /** Records that a request with [prompt] was sent to [id]. */
-    fun started(id: BackendServerId, prompt: Prompt?) {
-        val candidate = servers[id] ?: return
+    /** Records that [request] was sent to [id]. Returns the estimated number of tokens that the server prefills. */
+    fun started(id: BackendServerId, request: PlacementRequest): Int {
+        val candidate = servers[id] ?: return 0
         candidate.requests++
-        if (prompt != null) partLocations.recordSent(prompt, id)
-        candidate.pendingPrefillTokens += prefillTokens(prompt)
+        val prompt = request.prompt ?: return 0
+        val missingTokens = maxOf(0, prompt.inputTokens - candidate.cachedTokens(prompt))
+        isolation(request.pool).record(
+            request.eventGapTargetMs,
+            promptMs = prompt.inputTokens / rules.prefillTokensPerMs,
+            engineMs = missingTokens / rules.prefillTokensPerMs + rules.runningCostMs,
+        )
+        partLocations.recordSent(prompt, id)
+        candidate.pendingPrefillTokens += missingTokens
+        return missingTokens
     }
 
-    /** Records that the prefill of a request with [prompt] on [id] has ended, since the response has started. */
-    fun prefillEnded(id: BackendServerId, prompt: Prompt?) {
-        servers[id]?.let { it.pendingPrefillTokens = maxOf(0, it.pendingPrefillTokens - prefillTokens(prompt)) }
+    /** Records that a prefill of [tokens] on [id], as returned by [started], has ended, since the response has started. */
+    fun prefillEnded(id: BackendServerId, tokens: Int) {
+        servers[id]?.let { it.pendingPrefillTokens = maxOf(0, it.pendingPrefillTokens - tokens) }
     }
 
     /** Records that a request on [id] has ended. */
@@ -113,7 +133,7 @@
         servers[id]?.failures = 0
     }
 
-    private fun prefillTokens(prompt: Prompt?) = prompt?.inputTokens ?: 0
+    private fun isolation(pool: PoolId) = isolations.getOrPut(pool) { PrefillIsolation(clock) }
 
     private inner class Candidate(var server: BackendServer) {
         var requests = 0
@@ -125,22 +145,38 @@
             server.state == BackendServerState.RUNNING &&
             server.id !in request.exclude
 
-        /** Returns the estimated time that the request waits and delays other requests on this server. */
-        fun costMs(request: PlacementRequest, isHome: Boolean): Double {
-            val peerServerLoad = peerLoad[server.id]
-            val running = requests + (peerServerLoad?.requests ?: 0)
-            val domainCostMs = if (server.failureDomain == request.hostDomain) 0.0 else REMOTE_DOMAIN_COST_MS
-            val prompt = request.prompt
-            if (prompt == null) return running * rules.plainRequestMs / server.slots + domainCostMs
-            val waitingTokens = pendingPrefillTokens + (peerServerLoad?.pendingPrefillTokens ?: 0)
+        private val running get() = requests + (peerLoad[server.id]?.requests ?: 0)
+
+        private fun domainCostMs(request: PlacementRequest) =
+            if (server.failureDomain == request.hostDomain) 0.0 else REMOTE_DOMAIN_COST_MS
+
+        /** Returns the estimated time that a request without a prompt waits on this server. */
+        fun plainCostMs(request: PlacementRequest) =
+            running * rules.plainRequestMs / server.slots + domainCostMs(request)
+
+        /**
+         * Returns the estimated time that the request waits and delays other requests on this server, with a surcharge
+         * for parts that one of the [preferred] servers has in memory.
+         */
+        fun costMs(
+            request: PlacementRequest,
+            prompt: Prompt,
+            preferred: Set<BackendServerId>,
+            isHome: Boolean,
+        ): Double {
+            val waitingTokens = pendingPrefillTokens + (peerLoad[server.id]?.pendingPrefillTokens ?: 0)
             val fullCostMs = if (running >= server.slots) FULL_SERVER_COST_MS else 0.0
             val bonusMs = if (isHome) rules.homeBonusMs else 0.0
-            return (prefillCostTokens(prompt) + waitingTokens) / rules.prefillTokensPerMs +
-                running * rules.runningCostMs + domainCostMs + fullCostMs - bonusMs
+            return (prefillCostTokens(prompt, preferred) + waitingTokens) / rules.prefillTokensPerMs +
+                running * rules.runningCostMs + domainCostMs(request) + fullCostMs - bonusMs
         }
 
-        /** Returns the tokens to prefill, with a larger weight on those recently prefilled on another server. */
-        private fun prefillCostTokens(prompt: Prompt): Double {
+        /** Returns the tokens of [prompt] that this server probably has in memory. */
+        fun cachedTokens(prompt: Prompt): Int =
+            prompt.sharedParts.takeWhile { partLocations.isCached(it.id, server.id) }.sumOf { it.tokens }
+
+        /** Returns the tokens to prefill, with a larger weight on those recently prefilled on a [preferred] server. */
+        private fun prefillCostTokens(prompt: Prompt, preferred: Set<BackendServerId>): Double {
             var cachedTokens = 0
             var duplicateTokens = 0
             var isPrefixCached = true
@@ -148,7 +184,7 @@
                 isPrefixCached = isPrefixCached && partLocations.isCached(part.id, server.id)
                 if (isPrefixCached) {
                     cachedTokens += part.tokens
-                } else if (partLocations.wasPrefilled(part.id, rules.duplicatePrefillWindowMs)) {
+                } else if (partLocations.wasPrefilled(part.id, preferred, rules.duplicatePrefillWindowMs)) {
                     duplicateTokens += part.tokens
                 }
             }
--- a/placement/src/main/kotlin/org/hickorytiller/placement/PlacementRules.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/PlacementRules.kt
@@ -13,6 +13,7 @@
  *   prefilled twice
  * @property duplicatePrefillFactor additional weight of tokens prefilled twice, which cost money as well as time
  * @property homeBonusMs advantage of the home of a part, on which hosts agree before they exchange locations
+ * @property isolationCostMs waiting time up to which a request stays within its group of servers, see PrefillIsolation
  */
 data class PlacementRules(
     val prefillTokensPerMs: Double = 54.6,
@@ -24,4 +25,5 @@
     val duplicatePrefillWindowMs: Long = 12_000,
     val duplicatePrefillFactor: Double = 3.0,
     val homeBonusMs: Double = 200.0,
+    val isolationCostMs: Double = 300.0,
 )
--- a/placement/src/test/kotlin/org/hickorytiller/placement/PlacementTest.kt
+++ b/placement/src/test/kotlin/org/hickorytiller/placement/PlacementTest.kt
@@ -40,8 +40,7 @@
         val first = placement(3)
         val homes = (1L..60L).associateWith { document ->
             val server = first.choose(request(prompt(document)))!!
-            first.started(server.id, prompt(document))
-            first.prefillEnded(server.id, prompt(document))
+            first.prefillEnded(server.id, first.started(server.id, request(prompt(document))))
             first.ended(server.id)
             server
         }
@@ -55,7 +54,7 @@
         val peer = placement()
         val home = local.choose(request(prompt(7)))!!
         val other = (1..6).map { BackendServerId("s$it") }.first { it != home.id }
-        peer.started(other, prompt(7))
+        peer.started(other, request(prompt(7)))
         local.applyPeerPartLocations(peer.recentPartLocations())
         local.choose(request(prompt(7)))?.id shouldBe other
     }
@@ -64,7 +63,7 @@
     fun `a request goes to another server if the server with the part is overloaded`() {
         val placement = placement()
         val home = placement.choose(request(prompt(7)))!!
-        repeat(200) { placement.started(home.id, prompt(7, ownPart = it.toLong())) }
+        repeat(200) { placement.started(home.id, request(prompt(7, ownPart = it.toLong()))) }
         placement.choose(request(prompt(7))) shouldNotBe home
     }
 
@@ -72,7 +71,7 @@
     fun `a restarted server is not expected to have parts in memory`() {
         val placement = placement(2)
         val nonHome = BackendServerId("s1").takeIf { placement.choose(request(prompt(7)))!!.id != it } ?: BackendServerId("s2")
-        placement.started(nonHome, prompt(7))
+        placement.started(nonHome, request(prompt(7)))
         placement.ended(nonHome)
         placement.choose(request(prompt(7)))?.id shouldBe nonHome
         placement.replace(listOf(server("s1", startedMs = 2), server("s2", startedMs = 2)))
@@ -95,7 +94,7 @@
         placement.failed(first.id)
         placement.choose(request(null)) shouldNotBe first
         nowMs += 60_000
-        placement.started(placement.choose(request(null))!!.id, null)
+        placement.started(placement.choose(request(null))!!.id, request(null))
         setOf(first.id, placement.choose(request(null))!!.id).size shouldBeGreaterThan 0
         placement.replace(listOf(server(first.id.value)))
         placement.failed(first.id)
@@ -106,7 +105,7 @@
     fun `the number of requests in flight is correct after duplicate ends`() {
         val placement = placement(1)
         val id = BackendServerId("s1")
-        placement.started(id, prompt(1))
+        placement.started(id, request(prompt(1)))
         placement.inFlight(pool) shouldBe 1
         placement.replacePeerLoad(mapOf(id to ServerLoad(4, 0)))
         placement.inFlight(pool) shouldBe 5
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -97,8 +97,7 @@
         private suspend fun attemptNext(): RelayOutcome? {
             if (request.deadline - clock() < rules.minRemainingMs) return finish(OutcomeReason.DEADLINE)
             if (suspects.quarantineMs(request.fingerprint, clock()) != null) return finish(OutcomeReason.QUARANTINED)
-            val placementRequest = PlacementRequest(request.pool, request.prompt, hostDomain, triedServers)
-            val server = placement.choose(placementRequest) ?: return finish(reasonOf(failure))
+            val server = placement.choose(placementRequest()) ?: return finish(reasonOf(failure))
             if (sendCount > 0 && !retryBudget.tryAcquire(request.pool)) return finish(reasonOf(failure))
             val result = attemptOn(server)
             triedServers += server.id
@@ -106,6 +105,9 @@
             return if (result.isCallerGone) outcome(OutcomeReason.CALLER_GONE) else evaluate(server, result.failure)
         }
 
+        private fun placementRequest() =
+            PlacementRequest(request.pool, request.prompt, hostDomain, triedServers, request.route.eventGapTargetMs)
+
         private suspend fun evaluate(server: BackendServer, failure: ExchangeFailure?): RelayOutcome? {
             if (failure != null) {
                 callbacks.onAttemptFailed(request, server.id, failure)
@@ -141,7 +143,7 @@
 
         private suspend fun attemptOn(server: BackendServer): AttemptResult {
             lastServer = server.id
-            placement.started(server.id, request.prompt)
+            val prefillTokens = placement.started(server.id, placementRequest())
             suspects.started(server.id, request.fingerprint)
             var isPrefilling = true
             try {
@@ -152,7 +154,7 @@
                 sendCount++
                 verdict = Verdict.RAN
                 if (firstByteMs == null) firstByteMs = clock() - request.receivedAt
-                placement.prefillEnded(server.id, request.prompt)
+                placement.prefillEnded(server.id, prefillTokens)
                 isPrefilling = false
                 try {
                     return probeIfLost(server, relayResponse(server, response))
@@ -160,7 +162,7 @@
                     response.release()
                 }
             } finally {
-                if (isPrefilling) placement.prefillEnded(server.id, request.prompt)
+                if (isPrefilling) placement.prefillEnded(server.id, prefillTokens)
                 placement.ended(server.id)
                 suspects.ended(server.id, request.fingerprint)
             }
