Share changes of backend servers between hosts

Ruled out: gathering changes for longer (the delay of a leaving server is bounded, 2 s on the small sites); records in each status (a reader's status has 15 KB at 128 hosts, close to the limit of a datagram).

Change: a reader sends the records that a read has returned to all peers in a message of their own. A page that a peer's records have overtaken is not applied again. The configuration is still read by each host.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -19,6 +19,8 @@
 import org.hickorytiller.mesh.Mesh
 import org.hickorytiller.mesh.PeerTable
 import org.hickorytiller.mesh.StoreReadProgress
+import org.hickorytiller.mesh.TopicRecord
+import org.hickorytiller.mesh.TopicRecords
 import org.hickorytiller.metering.WindowReports
 import org.hickorytiller.metering.WindowUsageCounters
 import org.hickorytiller.placement.Placement
@@ -29,7 +31,9 @@
 import org.hickorytiller.platform.DutyLeaseStore
 import org.hickorytiller.platform.FollowRules
 import org.hickorytiller.platform.HostRegistry
+import org.hickorytiller.platform.KeyedRecord
 import org.hickorytiller.platform.READINESS_PATH
+import org.hickorytiller.platform.SERVER_TOPIC
 import org.hickorytiller.platform.StoreClient
 import org.hickorytiller.platform.encodeDirectory
 import org.hickorytiller.quarantine.CrashProbe
@@ -69,8 +73,19 @@
             if (progressSharing.isReader()) mesh.announce()
         }
     private val placement = Placement(clock, PlacementRules(duplicatePrefillWindowMs = bounds.partReuseMs))
-    private val servers =
-        ServerView(store, clock, proof::now, loop.scope, placement, storeHealth, followRules, progressSharing::isReader)
+    private val servers: ServerView =
+        ServerView(
+            store,
+            clock,
+            proof::now,
+            loop.scope,
+            placement,
+            storeHealth,
+            followRules.copy(peerSilenceMs = PEER_SILENCE_MS),
+            progressSharing::isReader,
+        ) { from, records ->
+            mesh.share(TopicRecords(SERVER_TOPIC, from, records.map { TopicRecord(it.key, it.value) }))
+        }
     private val counters = WindowUsageCounters(process, bounds.usageWindowMs)
     private val metrics = DaemonMetrics()
     private val inFlight = InFlight()
@@ -113,7 +128,7 @@
                 ::readProgress,
             ),
         )
-    private val mesh: Mesh = Mesh(loop.group, settings.listen.mesh, peers, status::build, ::onStatus)
+    private val mesh: Mesh = Mesh(loop.group, settings.listen.mesh, peers, status::build, ::onStatus, ::onPeerRecords)
     private val stopTask: StopTask =
         StopTask(
             clock,
@@ -208,6 +223,11 @@
         }
     }
 
+    private fun onPeerRecords(message: TopicRecords) {
+        if (message.topic != SERVER_TOPIC) return
+        servers.onPeerRecords(message.from, message.records.map { KeyedRecord(it.key, it.value) })
+    }
+
     private fun onQuarantine(quarantine: Quarantine) = log.warn {
         "event=quarantined request=${quarantine.fingerprint} forMs=${quarantine.remainingMs}"
     }
@@ -253,6 +273,10 @@
 
         // Leaves time for a read by this host before keyed requests have to be rejected.
         const val STALE_PERCENT = 60
+
+        // Readers report their progress once a second. A leaving server must be known within two seconds, so a host
+        // reads for itself when a report is overdue.
+        const val PEER_SILENCE_MS = 1_300L
         const val STOP_ACCEPT_MS = 3_300L
         const val STOP_MARGIN_MS = 700L
         const val MS_PER_S = 1000.0
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
@@ -17,6 +17,7 @@
 import org.hickorytiller.platform.KeyedFollower
 import org.hickorytiller.platform.KeyedRecord
 import org.hickorytiller.platform.KeyedTopicListener
+import org.hickorytiller.platform.ProofSource
 import org.hickorytiller.platform.SERVER_TOPIC
 import org.hickorytiller.platform.StoreClient
 import org.hickorytiller.platform.decodeServer
@@ -24,6 +25,9 @@
 /** Called when a server has been removed from the list. */
 internal typealias OnServerGone = (BackendServer) -> Unit
 
+/** Sends records of the topic, of which the first has the given offset, to the peers. */
+internal typealias ShareRecords = (LogOffset, List<KeyedRecord>) -> Unit
+
 /** Follows the topic of the backend servers. Confined to the event loop. */
 internal class ServerView(
     store: StoreClient,
@@ -34,6 +38,7 @@
     private val health: DependencyHealth,
     rules: FollowRules,
     isReader: IsReader,
+    shareRecords: ShareRecords,
 ) {
     private val servers = HashMap<BackendServerId, BackendServer>()
     private val missingSince = HashMap<BackendServerId, TimeMs>()
@@ -47,8 +52,9 @@
             KeyedTopicListener(
                 onSnapshot = ::replaceAll,
                 onChanges = ::applyChanges,
-                onCaughtUp = { _, _ -> },
+                onCaughtUp = { _, source -> if (source == ProofSource.OWN_READ) health.succeeded() },
                 onFailure = { health.failed(it.name.lowercase()) },
+                onRead = { from, records -> if (isReader()) shareRecords(from, records) },
             ),
             lingerMs = { if (isNearOutage()) 0 else LINGER_MS },
         )
@@ -62,8 +68,10 @@
     /** Applies the report of a peer that the topic ends at [end] now. */
     fun onPeerProgress(end: LogOffset) = follower.onPeerProgress(end, now())
 
+    /** Applies [records] that a peer has read from offset [from] on. */
+    fun onPeerRecords(from: LogOffset, records: List<KeyedRecord>) = follower.onPeerRecords(from, records)
+
     private fun replaceAll(records: List<KeyedRecord>) {
-        health.succeeded()
         val listed = records.map { it.key }.toSet()
         servers.keys.filter { it.value !in listed }.forEach(::onMissing)
         records.forEach(::apply)
@@ -71,7 +79,6 @@
     }
 
     private fun applyChanges(records: List<KeyedRecord>) {
-        health.succeeded()
         if (records.isEmpty()) return
         records.forEach(::apply)
         publish()
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/ServerViewTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/ServerViewTest.kt
@@ -45,6 +45,7 @@
                 health,
                 FollowRules(staleMs = 60_000, waitMs = 30),
                 isReader = { false },
+                shareRecords = { _, _ -> },
             )
         onLoop { store.put(TOPIC, "i-1", ENTRY) }
         loop.scope.launch { view.run() }
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
@@ -21,13 +21,17 @@
 /** Called for each status received; the flag is true if it is the first of its process run. */
 typealias OnStatus = (HostStatus, Boolean) -> Unit
 
-/** The exchange of statuses. Confined to the event loop of [group], which must have one thread. */
+/** Called for records that a peer has read from the platform's store. */
+typealias OnTopicRecords = (TopicRecords) -> Unit
+
+/** The exchange of statuses and records. Confined to the event loop of [group], which must have one thread. */
 class Mesh(
     private val group: EventLoopGroup,
     private val address: InetSocketAddress,
     private val peers: PeerTable,
     private val build: BuildStatus,
     private val onStatus: OnStatus,
+    private val onTopicRecords: OnTopicRecords = { },
     private val rules: MeshRules = MeshRules(),
 ) {
     private var channel: Channel? = null
@@ -59,9 +63,15 @@
     fun announce() {
         val bytes = encodeStatus(build())
         if (logIfTooLong(bytes)) return
-        peers.destinations().filter { it != address }.forEach { send(bytes, it) }
+        sendToAll(bytes)
     }
 
+    /** Sends [records] to all peers now. */
+    fun share(records: TopicRecords) =
+        records.divide(MAX_RECORD_BYTES).forEach { sendToAll(encodeTopicRecords(it)) }
+
+    private fun sendToAll(bytes: ByteArray) = peers.destinations().filter { it != address }.forEach { send(bytes, it) }
+
     /** Returns whether [bytes] exceeds the limit of a datagram. Logs the first status in a row that does. */
     private fun logIfTooLong(bytes: ByteArray): Boolean {
         val isTooLong = bytes.size > MAX_DATAGRAM_BYTES
@@ -82,7 +92,12 @@
         override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
             val bytes = ByteArray(packet.content().readableBytes())
             packet.content().readBytes(bytes)
-            val status = decodeStatus(bytes) ?: return
+            val message = parseMessage(bytes) ?: return
+            val status = decodeStatus(message)
+            if (status != null) receive(status) else decodeTopicRecords(message)?.let(onTopicRecords)
+        }
+
+        private fun receive(status: HostStatus) {
             val isNew = peers.receive(status)
             onStatus(status, isNew)
             // A host that has just started learns its peers at once.
@@ -98,6 +113,9 @@
     private companion object {
         val log = KotlinLogging.logger {}
         const val MAX_DATAGRAM_BYTES = 16_384
+
+        // Base64 makes the values a third longer; the limit leaves room for that and for the offsets.
+        const val MAX_RECORD_BYTES = 8_192
         const val INTERVAL_PER_HOST_MS = 15L
     }
 }
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
@@ -14,6 +14,7 @@
 import org.hickorytiller.core.HostId
 import org.hickorytiller.core.LogOffset
 import org.hickorytiller.core.ProcessId
+import org.hickorytiller.core.StreamName
 import org.hickorytiller.core.booleanOrNull
 import org.hickorytiller.core.formatAddress
 import org.hickorytiller.core.jsonTreeMapper
@@ -26,6 +27,7 @@
 import org.hickorytiller.quarantine.CrashReport
 import org.hickorytiller.quarantine.RequestFingerprint
 import org.hickorytiller.quarantine.ServerIncarnation
+import java.io.IOException
 
 /** Encodes [status] as JSON. */
 internal fun encodeStatus(status: HostStatus): ByteArray {
@@ -54,15 +56,42 @@
     return jsonTreeMapper.writeValueAsBytes(root)
 }
 
+/** Encodes [message] as JSON. */
+internal fun encodeTopicRecords(message: TopicRecords): ByteArray {
+    val root = jsonTreeMapper.createObjectNode().put("topic", message.topic.value).put("from", message.from.value)
+    val records = root.putArray("records")
+    message.records.forEach { records.addArray().add(it.key).add(it.value) }
+    return jsonTreeMapper.writeValueAsBytes(root)
+}
+
+/** Parses a message; null if it is no JSON. */
+internal fun parseMessage(bytes: ByteArray): JsonNode? = try {
+    jsonTreeMapper.readTree(bytes)
+} catch (_: JsonProcessingException) {
+    null
+}
+
 /** Decodes the status in [bytes]; null if it is invalid. */
-internal fun decodeStatus(bytes: ByteArray): HostStatus? {
-    val root =
-        try {
-            jsonTreeMapper.readTree(bytes)
-        } catch (_: JsonProcessingException) {
-            return null
-        }
-    return nullable { decodeFields(root) }
+internal fun decodeStatus(bytes: ByteArray): HostStatus? = parseMessage(bytes)?.let(::decodeStatus)
+
+/** Decodes the status in [root]; null if it is invalid. */
+internal fun decodeStatus(root: JsonNode): HostStatus? = nullable { decodeFields(root) }
+
+/** Decodes the records in [root]; null if it is another kind of message, or if any part of it is invalid. */
+internal fun decodeTopicRecords(root: JsonNode): TopicRecords? = nullable {
+    val records = root.path("records").map { decodeTopicRecord(it).bind() }
+    TopicRecords(StreamName(root.textOrNull("topic").bind()), LogOffset(root.longOrNull("from").bind()), records)
+}
+
+private fun decodeTopicRecord(node: JsonNode): TopicRecord? {
+    val key = node.path(0).textValue() ?: return null
+    val value = node.path(1)
+    if (value.isNull) return TopicRecord(key, value = null)
+    return try {
+        value.binaryValue()?.let { TopicRecord(key, it) }
+    } catch (_: IOException) {
+        null
+    }
 }
 
 private fun SingletonRaise<Nothing?>.decodeFields(root: JsonNode) = HostStatus(
--- a/standins/src/test/kotlin/org/hickorytiller/standins/KeyedFollowerTest.kt
+++ b/standins/src/test/kotlin/org/hickorytiller/standins/KeyedFollowerTest.kt
@@ -130,4 +130,56 @@
         peerProgress(2)
         onLoop { proofs.count { it.first == ProofSource.PEER } } shouldBe proofsBefore
     }
+
+    private fun sharedBy(peerSilenceMs: Long = 60_000) = FollowRules(staleMs = 60_000, waitMs = 30, maxLagMs = 100, peerSilenceMs = peerSilenceMs)
+
+    private fun peerRecords(from: Long, vararg records: String) = onLoop {
+        follower.onPeerRecords(LogOffset(from), records.map { KeyedRecord("k", it.toByteArray()) })
+    }
+
+    @Test
+    fun `records shared by a peer replace reads of the store`() {
+        follow(sharedBy())
+        peerProgress(1)
+        runBlocking { delay(100) }
+        val before = onLoop { store.calls }
+        peerRecords(from = 1, "second", "third")
+        peerRecords(from = 2, "third", "fourth")
+        peerProgress(4)
+        runBlocking { delay(300) }
+        onLoop { values.toList() } shouldBe listOf("first", "second", "third", "fourth")
+        onLoop { store.calls } shouldBe before
+    }
+
+    @Test
+    fun `the store is read if records that a peer reports do not arrive`() {
+        follow(sharedBy())
+        peerProgress(1)
+        runBlocking { delay(100) }
+        onLoop { store.put("keyed.t", "k", "second") }
+        peerRecords(from = 2, "third")
+        onLoop { values.toList() } shouldBe listOf("first")
+        peerProgress(2)
+        await { "second" in values }
+    }
+
+    @Test
+    fun `the store is read if a peer that shares its records falls silent`() {
+        follow(sharedBy(peerSilenceMs = 200))
+        peerProgress(1)
+        onLoop { store.put("keyed.t", "k", "second") }
+        await { "second" in values }
+    }
+
+    // A page of an older read must not replace newer values.
+    @Test
+    fun `records that a peer has shared during a read are not applied again`() {
+        follow(FollowRules(staleMs = 60_000, waitMs = 5_000, maxLagMs = 100))
+        runBlocking { delay(100) }
+        peerRecords(from = 1, "second", "third")
+        onLoop { store.put("keyed.t", "k", "second") }
+        runBlocking { delay(200) }
+        onLoop { values.toList() } shouldBe listOf("first", "second", "third")
+        onLoop { follower.end } shouldBe LogOffset(3)
+    }
 }
