Order full-price servers in place of reclaimed ones

Change: while reclaimable servers are scarce, only those that run or start hold a place, and one place is kept to ask for them again. FleetPlannerTest plays an accepted order whose servers were reclaimed.

--- a/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
+++ b/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
@@ -46,15 +46,19 @@
         /** Time until which reclaimable servers count as scarce. */
         var scarceUntil = LONG_AGO
 
-        /** Number of servers in the last accepted order; null if no order of this process was accepted. */
-        var ordered: Int? = null
+        /** Number of servers in the last accepted order of this process. */
+        var ordered = 0
+
+        /** Time until which servers of that order may still be starting. */
+        var startingUntil = LONG_AGO
     }
 
     /** Records an accepted order of [count] reclaimable servers in [domain], each of which boots in [bootMs]. */
     fun accepted(domain: FailureDomain, count: Int, bootMs: Long) {
         val supply = supply(domain)
         supply.ordered = count
-        if (supply.scarceUntil > clock()) supply.scarceUntil = clock() + bootMs + rules.bootMarginMs
+        supply.startingUntil = clock() + bootMs + rules.bootMarginMs
+        if (supply.scarceUntil > clock()) supply.scarceUntil = supply.startingUntil
     }
 
     /** Records that [domain] has no reclaimable servers available at present. */
@@ -112,11 +116,13 @@
 
     /**
      * Returns the part of the limit of [domain] that is reserved for reclaimable servers. While they are scarce, this
-     * is the count of the last accepted order, or of the running servers if there is none, but at least the minimum, so
-     * that they can be ordered again.
+     * is the count of those that are running or starting, but at least one, so that they can be ordered again.
      */
-    private fun reserved(status: PoolStatus, domain: FailureDomain, wanted: Int, scaling: ScalingSpec): Int =
-        if (isScarce(domain)) maxOf(supply(domain).ordered ?: running(status, domain), minCount(scaling)) else wanted
+    private fun reserved(status: PoolStatus, domain: FailureDomain, wanted: Int, scaling: ScalingSpec): Int {
+        if (!isScarce(domain)) return wanted
+        val starting = if (supply(domain).startingUntil > clock()) supply(domain).ordered else 0
+        return maxOf(running(status, domain), starting, 1)
+    }
 
     private fun minCount(scaling: ScalingSpec) =
         (scaling.max * rules.minShare).roundToInt().coerceIn(scaling.min, scaling.max)
--- a/scaling/src/test/kotlin/org/hickorytiller/scaling/FleetPlannerTest.kt
+++ b/scaling/src/test/kotlin/org/hickorytiller/scaling/FleetPlannerTest.kt
@@ -90,6 +90,17 @@
         planner.plan(PoolStatus(pool, servers(3, true), inFlight = 420)).total(reclaimable = false) shouldBe 16
     }
 
+    // Guards against a pool without servers: an order of the whole limit was accepted, then its servers were reclaimed.
+    @Test
+    fun `an order whose servers were reclaimed does not count against the limit of its failure domain`() {
+        val planner = FleetPlanner(clock)
+        domains.forEach { planner.accepted(it, 7, bootMs = 4_000) }
+        nowMs += 5_000
+        domains.forEach(planner::refused)
+        // In each of the 4 domains the limit of 7 less one, with which reclaimable servers are asked for again.
+        planner.plan(PoolStatus(pool, emptyList(), inFlight = 300)).total(reclaimable = false) shouldBe 24
+    }
+
     @Test
     fun `full-price servers are kept until the reclaimable ones have started`() {
         val planner = FleetPlanner(clock)
