Move runs off servers that are about to stop

Cause: a stream that may not be resumed breaks when its server stops before its end.

Ruled out: waiting for the stream (the server ends first); sending the request again (it would run twice).

Change: 1.3 s before a leaving server stops, the relay tells the engine to copy the run to another server and to end it, and continues the same run there after the last event that the caller has. A retry is taken from the budget first. Without a handle the request is not sent again. If the target has no room, the run goes on where it was stopped. RunMoveTest plays a server that leaves under its stream, listed and unlisted, with and without a copy.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -4,7 +4,9 @@
 import io.github.oshai.kotlinlogging.KotlinLogging
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.launch
+import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.HostId
+import org.hickorytiller.core.PoolId
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.core.monotonicClock
 import org.hickorytiller.core.wallTimeMs
@@ -33,6 +35,7 @@
 import org.hickorytiller.platform.HostRegistry
 import org.hickorytiller.platform.KeyedRecord
 import org.hickorytiller.platform.READINESS_PATH
+import org.hickorytiller.platform.RunMoveClient
 import org.hickorytiller.platform.SERVER_TOPIC
 import org.hickorytiller.platform.StoreClient
 import org.hickorytiller.platform.encodeDirectory
@@ -40,10 +43,12 @@
 import org.hickorytiller.quarantine.CrashSuspects
 import org.hickorytiller.quarantine.Quarantine
 import org.hickorytiller.quarantine.SuspectRules
+import org.hickorytiller.relay.Departures
 import org.hickorytiller.relay.HostRetryBudget
 import org.hickorytiller.relay.Relay
 import org.hickorytiller.relay.RelayCallbacks
 import org.hickorytiller.relay.RetryBudgetRules
+import org.hickorytiller.relay.RunMoves
 import org.hickorytiller.routes.FreshnessProof
 import org.hickorytiller.routes.FreshnessRules
 import java.net.InetSocketAddress
@@ -79,7 +84,7 @@
             clock,
             proof::now,
             loop.scope,
-            placement,
+            ::onServers,
             storeHealth,
             followRules.copy(peerSilenceMs = PEER_SILENCE_MS),
             progressSharing::isReader,
@@ -89,7 +94,9 @@
     private val counters = WindowUsageCounters(process, bounds.usageWindowMs)
     private val metrics = DaemonMetrics()
     private val inFlight = InFlight()
-    private val serverClient = BackendServerClient(HttpClient(loop.group, SERVER_LIMITS))
+    private val serverConnections = HttpClient(loop.group, SERVER_LIMITS)
+    private val serverClient = BackendServerClient(serverConnections)
+    private val departures = Departures()
     private val suspects = CrashSuspects(SuspectRules(crashes = QUARANTINE_CRASHES), ::onQuarantine)
     private val relay: Relay =
         Relay(
@@ -107,6 +114,7 @@
                 onAbandoned = { request, outcome -> callers.logAbandoned(request, outcome) },
             ),
             CrashProbe(suspects, clock, serverClient::acceptsConnections),
+            RunMoves(departures, RunMoveClient(serverConnections)::move, ::canMoveRuns),
         )
     private val claim = ClaimId(process.value)
     private val lease =
@@ -223,6 +231,14 @@
         }
     }
 
+    private fun onServers(servers: Collection<BackendServer>) {
+        placement.replace(servers)
+        departures.replace(servers)
+    }
+
+    private fun canMoveRuns(pool: PoolId) =
+        configuration.table?.configuration?.pools?.any { it.id == pool && it.engine?.canMoveRuns == true } ?: false
+
     private fun onPeerRecords(message: TopicRecords) {
         if (message.topic != SERVER_TOPIC) return
         servers.onPeerRecords(message.from, message.records.map { KeyedRecord(it.key, it.value) })
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
@@ -11,7 +11,6 @@
 import org.hickorytiller.core.ClockReading
 import org.hickorytiller.core.LogOffset
 import org.hickorytiller.core.TimeMs
-import org.hickorytiller.placement.Placement
 import org.hickorytiller.platform.FollowRules
 import org.hickorytiller.platform.IsReader
 import org.hickorytiller.platform.KeyedFollower
@@ -25,6 +24,9 @@
 /** Called when a server has been removed from the list. */
 internal typealias OnServerGone = (BackendServer) -> Unit
 
+/** Called with all listed servers when one of them has changed. */
+internal typealias OnServers = (Collection<BackendServer>) -> Unit
+
 /** Sends records of the topic, of which the first has the given offset, to the peers. */
 internal typealias ShareRecords = (LogOffset, List<KeyedRecord>) -> Unit
 
@@ -34,7 +36,7 @@
     private val clock: Clock,
     private val now: () -> ClockReading,
     private val scope: CoroutineScope,
-    private val placement: Placement,
+    private val onServers: OnServers,
     private val health: DependencyHealth,
     rules: FollowRules,
     isReader: IsReader,
@@ -128,7 +130,7 @@
         log.info { "event=server_gone id=$id pool=${server.pool} reason=$reason" }
     }
 
-    private fun publish() = placement.replace(servers.values)
+    private fun publish() = onServers(servers.values)
 
     private companion object {
         val log = KotlinLogging.logger {}
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/ServerViewTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/ServerViewTest.kt
@@ -41,7 +41,7 @@
                 monotonicClock,
                 { ClockReading(monotonicClock(), System.currentTimeMillis()) },
                 loop.scope,
-                placement,
+                placement::replace,
                 health,
                 FollowRules(staleMs = 60_000, waitMs = 30),
                 isReader = { false },
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Exchange.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Exchange.kt
@@ -30,6 +30,7 @@
  * @property timeoutMs time until the deadline of the request
  * @property responseHeadTimeoutMs time within which the response head must be received
  * @property resumeAfter event after which the stream is resumed; null to start at the beginning
+ * @property movedRun run that the attempt continues; null if it starts a new one
  */
 class Attempt(
     val server: BackendServer,
@@ -37,6 +38,7 @@
     val timeoutMs: Long,
     val responseHeadTimeoutMs: Long,
     val resumeAfter: EventId?,
+    val movedRun: MovedRun? = null,
 )
 
 /** Receives the next bytes of a response within the given milliseconds; null at its end. */
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -7,6 +7,11 @@
 
 import arrow.core.getOrElse
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.Clock
@@ -56,6 +61,7 @@
     private val retryBudget: HostRetryBudget,
     private val callbacks: RelayCallbacks,
     private val crashProbe: CrashProbe,
+    private val runMoves: RunMoves? = null,
     private val rules: RelayRules = RelayRules(),
 ) {
     private val suspects get() = crashProbe.suspects
@@ -67,6 +73,9 @@
     /** Result of one attempt. [failure] is null if the response was complete or the caller disconnected. */
     private class AttemptResult(val failure: ExchangeFailure?, val isCallerGone: Boolean = false)
 
+    /** A move of the run of an attempt, which begins when its server is about to stop. */
+    private class PendingMove(val run: Deferred<MovedRun?>, val hasBegun: () -> Boolean)
+
     /** The progress of one request over all its attempts. */
     private inner class Execution(private val request: RelayRequest, private val sink: ResponseSink) {
         private val triedServers = HashSet<BackendServerId>()
@@ -80,6 +89,7 @@
         private var firstByteMs: Long? = null
         private var failure: ExchangeFailure? = null
         private var errorResponse: Pair<ResponseHead, ByteArray>? = null
+        private var movedRun: MovedRun? = null
 
         suspend fun runToCompletion(): RelayOutcome {
             retryBudget.recordRequest(request.pool)
@@ -97,22 +107,25 @@
         private suspend fun attemptNext(): RelayOutcome? {
             if (request.deadline - clock() < rules.minRemainingMs) return finish(OutcomeReason.DEADLINE)
             if (suspects.quarantineMs(request.fingerprint, clock()) != null) return finish(OutcomeReason.QUARANTINED)
-            val server = placement.choose(placementRequest()) ?: return finish(reasonOf(failure))
-            if (sendCount > 0 && !retryBudget.tryAcquire(request.pool)) return finish(reasonOf(failure))
-            val result = attemptOn(server)
+            val moved = movedRun.also { movedRun = null }
+            val server =
+                moved?.target ?: placement.choose(placementRequest()) ?: return finish(reasonOf(failure))
+            // The budget was charged for a moved run before the move.
+            if (moved == null && sendCount > 0 && !retryBudget.tryAcquire(request.pool)) return finish(reasonOf(failure))
+            val result = attemptWithMove(server, moved)
             triedServers += server.id
             failure = result.failure
             return if (result.isCallerGone) outcome(OutcomeReason.CALLER_GONE) else evaluate(server, result.failure)
         }
 
-        private fun placementRequest() =
-            PlacementRequest(request.pool, request.prompt, hostDomain, triedServers, request.route.eventGapTargetMs)
+        private fun placementRequest(exclude: Set<BackendServerId> = triedServers) =
+            PlacementRequest(request.pool, request.prompt, hostDomain, exclude, request.route.eventGapTargetMs)
 
         private suspend fun evaluate(server: BackendServer, failure: ExchangeFailure?): RelayOutcome? {
             if (failure != null) {
-                callbacks.onAttemptFailed(request, server.id, failure)
+                if (movedRun == null) callbacks.onAttemptFailed(request, server.id, failure)
                 verdict = maxOf(verdict, failure.verdict)
-                return if (recordAndCheckRetry(failure)) null else finish(reasonOf(failure))
+                return if (movedRun != null || recordAndCheckRetry(failure)) null else finish(reasonOf(failure))
             }
             // The error response of a server is relayed at the end if no other server responds without an error.
             if (errorResponse == null) return outcome(OutcomeReason.ANSWERED)
@@ -141,7 +154,36 @@
         private fun outcome(reason: OutcomeReason) =
             RelayOutcome(reason, verdict, hasResponseStarted, sendCount, lastServer, firstByteMs)
 
-        private suspend fun attemptOn(server: BackendServer): AttemptResult {
+        /** Makes an attempt on [server] and moves its run elsewhere if the server is about to stop. */
+        private suspend fun attemptWithMove(server: BackendServer, moved: MovedRun?): AttemptResult = coroutineScope {
+            val pending = if (canMove()) moveBeforeStop(server) else null
+            try {
+                val result = attemptOn(server, moved)
+                if (result.failure != null && pending?.hasBegun() == true) movedRun = pending.run.await()
+                result
+            } finally {
+                pending?.run?.cancel()
+            }
+        }
+
+        private fun canMove() =
+            request.route.responseMode == ResponseMode.STREAM && runMoves?.canMoveRuns?.invoke(request.pool) == true
+
+        private fun CoroutineScope.moveBeforeStop(server: BackendServer): PendingMove {
+            var hasBegun = false
+            val run =
+                async {
+                    val moves = checkNotNull(runMoves)
+                    delay(moves.delayMs(moves.departures.await(server.id)))
+                    val target = placement.choose(placementRequest(exclude = triedServers + server.id))
+                    if (target == null || !retryBudget.tryAcquire(request.pool)) return@async null
+                    hasBegun = true
+                    moves.move(request.id, server, target)
+                }
+            return PendingMove(run) { hasBegun }
+        }
+
+        private suspend fun attemptOn(server: BackendServer, moved: MovedRun?): AttemptResult {
             lastServer = server.id
             val prefillTokens = placement.started(server.id, placementRequest())
             suspects.started(server.id, request.fingerprint)
@@ -149,9 +191,11 @@
             try {
                 val timeoutMs = request.deadline - clock()
                 val resumeAfter = eventBuffer.lastEventId ?: request.resumeAfter
-                val attempt = Attempt(server, request, timeoutMs, responseHeadTimeoutMs(timeoutMs), resumeAfter)
+                val attempt =
+                    Attempt(server, request, timeoutMs, responseHeadTimeoutMs(timeoutMs), resumeAfter, moved)
                 val response = sendAttempt(attempt).getOrElse { return probeIfLost(server, recordFailure(server, it)) }
-                sendCount++
+                // A moved run is still the same run.
+                if (moved == null) sendCount++
                 verdict = Verdict.RAN
                 if (firstByteMs == null) firstByteMs = clock() - request.receivedAt
                 placement.prefillEnded(server.id, prefillTokens)
--- /dev/null
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/RunMove.kt
@@ -0,0 +1,66 @@
+/**
+ * Moves the runs of streams off servers that are about to stop. The engine copies the memory of the run to another
+ * server and ends it on the first one, so the stream goes on as the same run, even if it may not be resumed.
+ */
+package org.hickorytiller.relay
+
+import kotlinx.coroutines.CompletableDeferred
+import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.BackendServerState
+import org.hickorytiller.core.PoolId
+
+/** Names a copy of the memory of a run on the server that made it. */
+@JvmInline
+value class RunHandle(val value: String)
+
+/** A run that [source] has stopped, and that continues on [target] with the copy called [handle]. */
+class MovedRun(val source: BackendServer, val target: BackendServer, val handle: RunHandle)
+
+/** Stops the run of a request on the first server and copies it to the second; null if the run was not moved. */
+typealias MoveRun = suspend (RequestId, BackendServer, BackendServer) -> MovedRun?
+
+/** Returns whether the engines of a pool can move runs. */
+typealias CanMoveRuns = (PoolId) -> Boolean
+
+/**
+ * How runs are moved.
+ *
+ * @property leadMs time before a server stops at which its runs are moved; longer than copies of all its runs take
+ * @property defaultNoticeMs time from the notice to the stop of a server that does not state it
+ */
+class RunMoves(
+    val departures: Departures,
+    val move: MoveRun,
+    val canMoveRuns: CanMoveRuns,
+    val leadMs: Long = 1_300,
+    val defaultNoticeMs: Long = 2_000,
+) {
+    /** Time to wait after the notice of [server] before its runs are moved, in which most of them end by themselves. */
+    fun delayMs(server: BackendServer): Long = ((server.noticeMs ?: defaultNoticeMs) - leadMs).coerceAtLeast(0)
+}
+
+/** The servers that are about to stop. Confined to the event loop. */
+class Departures {
+    private val known = HashMap<BackendServerId, BackendServer>()
+    private val waiting = HashMap<BackendServerId, CompletableDeferred<BackendServer>>()
+
+    /** Replaces the listed servers. A server that is no longer listed may still serve for a while. */
+    fun replace(current: Collection<BackendServer>) {
+        val listed = current.associateBy { it.id }
+        known.filterKeys { it !in listed }.values.forEach(::depart)
+        known.clear()
+        known += listed
+        current.filter { it.state == BackendServerState.LEAVING }.forEach(::depart)
+    }
+
+    /** Suspends until [id] is about to stop; returns its entry. */
+    suspend fun await(id: BackendServerId): BackendServer {
+        known[id]?.takeIf { it.state == BackendServerState.LEAVING }?.let { return it }
+        return waiting.getOrPut(id) { CompletableDeferred() }.await()
+    }
+
+    private fun depart(server: BackendServer) {
+        waiting.remove(server.id)?.complete(server)
+    }
+}
--- /dev/null
+++ b/relay/src/test/kotlin/org/hickorytiller/relay/RunMoveTest.kt
@@ -0,0 +1,164 @@
+package org.hickorytiller.relay
+
+import arrow.core.left
+import arrow.core.right
+import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.async
+import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
+import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.BackendServerState
+import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.TimeMs
+import org.hickorytiller.http.RequestHead
+import org.hickorytiller.http.ResponseHead
+import org.hickorytiller.placement.Placement
+import org.hickorytiller.quarantine.CrashProbe
+import org.hickorytiller.quarantine.CrashSuspects
+import org.hickorytiller.quarantine.SuspectRules
+import org.hickorytiller.quarantine.crc32Fingerprint
+import org.hickorytiller.routes.ResponseMode
+import org.hickorytiller.routes.Route
+import org.hickorytiller.routes.RouteId
+import java.net.InetSocketAddress
+
+/** The load pattern "a failure domain is reclaimed under its streams". */
+class RunMoveTest : AnnotationSpec() {
+    private val pool = PoolId("engines")
+    private val domain = FailureDomain("a")
+    private val clock = { TimeMs(0) }
+    private val placement = Placement(clock)
+    private val departures = Departures()
+    private val attempts = mutableListOf<Attempt>()
+    private val moves = mutableListOf<Pair<BackendServerId, BackendServerId>>()
+    private val relayed = StringBuilder()
+    private var runCount = 0
+
+    private fun server(id: String, state: BackendServerState = BackendServerState.RUNNING) = BackendServer(BackendServerId(id), pool, InetSocketAddress("127.0.0.1", 1), domain, state, 6, reclaimable = true, noticeMs = 0)
+
+    private fun publish(servers: List<BackendServer>) {
+        placement.replace(servers)
+        departures.replace(servers)
+    }
+
+    private fun event(id: Int) = "id: $id\ndata: t$id\n\n"
+
+    /** Relays a stream whose first server ends after two of four events, when it has been told to move the run. */
+    private fun relayWhileServerLeaves(
+        slack: Int = 160,
+        canMoveRuns: Boolean = true,
+        isUnlisted: Boolean = false,
+        move: MoveRun = { _, source, target -> MovedRun(source, target, RunHandle("h1")) },
+    ): RelayOutcome = runBlocking {
+        publish(listOf(server("s1"), server("s2")))
+        val firstEvents = CompletableDeferred<Unit>()
+        val firstEnds = CompletableDeferred<Unit>()
+        val runMoves =
+            RunMoves(
+                departures,
+                { request, source, target ->
+                    moves += source.id to target.id
+                    firstEnds.complete(Unit)
+                    move(request, source, target)
+                },
+                { canMoveRuns },
+            )
+        val sendAttempt: SendAttempt = { attempt ->
+            attempts += attempt
+            val isFirst = attempts.size == 1
+            val chunks = ArrayDeque(if (isFirst) listOf(event(1) + event(2)) else listOf(event(3), event(4)))
+            val receive: ReceiveBytes = {
+                val chunk = chunks.removeFirstOrNull()
+                if (chunk == null && isFirst) {
+                    firstEvents.complete(Unit)
+                    firstEnds.await()
+                }
+                chunk?.toByteArray()?.right() ?: if (isFirst) ExchangeFailure.LOST.left() else null.right()
+            }
+            StartedResponse(ResponseHead(200), receive) { }.right()
+        }
+        val budget = HostRetryBudget(clock, RetryBudgetRules(ratio = 0.0, slack, windowMs = 10_000)) { 1 }
+        val probe = CrashProbe(CrashSuspects(SuspectRules(crashes = 3)), clock) { true }
+        val callbacks = RelayCallbacks({ runCount++ }, { _, _, _ -> }, { _, _ -> })
+        val relay = Relay(clock, domain, placement, sendAttempt, budget, callbacks, probe, runMoves)
+        val outcome = async { relay.run(request(), sink) }
+        firstEvents.await()
+        val first = attempts.single().server.id
+        val others = listOf(server("s1"), server("s2")).filter { it.id != first }
+        publish(if (isUnlisted) others else others + server(first.value, BackendServerState.LEAVING))
+        repeat(10) { yield() }
+        // The server stops whether or not the run was moved.
+        firstEnds.complete(Unit)
+        outcome.await()
+    }
+
+    private val sink = ResponseSink({ _, _ -> true }, { true }, { relayed.append(String(it)).let { true } }, { true })
+
+    private fun request() = RelayRequest(
+        RequestId("r1"),
+        Route(RouteId("r"), "h", "/", ResponseMode.STREAM, false, canResume = false, 60_000, 100, 0, 1, emptyList(), maxAttempts = 1, false),
+        pool,
+        customer = null,
+        priority = 1,
+        ForwardedCall(RequestHead("POST", "/x"), ByteArray(0)),
+        prompt = null,
+        resumeAfter = null,
+        TimeMs(0),
+        TimeMs(60_000),
+        crc32Fingerprint(null, "/x", ByteArray(0)),
+    )
+
+    @BeforeEach
+    fun reset() {
+        attempts.clear()
+        moves.clear()
+        relayed.clear()
+        runCount = 0
+    }
+
+    @Test
+    fun `a stream that may not be resumed goes on as the same run on another server`() {
+        listOf(false, true).forAll { isUnlisted ->
+            reset()
+            val outcome = relayWhileServerLeaves(isUnlisted = isUnlisted)
+            outcome.reason shouldBe OutcomeReason.ANSWERED
+            outcome.sendCount shouldBe 1
+            relayed.toString() shouldBe (1..4).joinToString("", transform = ::event)
+            runCount shouldBe 1
+            val (first, second) = attempts
+            second.server.id shouldBe moves.single().second
+            second.resumeAfter shouldBe EventId("2")
+            second.movedRun?.source?.id shouldBe first.server.id
+            second.movedRun?.handle shouldBe RunHandle("h1")
+        }
+    }
+
+    // Without a copy the request would run twice.
+    @Test
+    fun `a stream is not sent again if its run was not moved`() {
+        relayWhileServerLeaves(move = { _, _, _ -> null }).reason shouldBe OutcomeReason.STREAM_BROKEN
+        attempts.size shouldBe 1
+    }
+
+    @Test
+    fun `a run that the target has no room for goes on where it was stopped`() {
+        val outcome = relayWhileServerLeaves(move = { _, source, _ -> MovedRun(source, source, RunHandle("h1")) })
+        outcome.reason shouldBe OutcomeReason.ANSWERED
+        attempts.map { it.server.id }.toSet().size shouldBe 1
+    }
+
+    @Test
+    fun `runs are moved only within the retry budget and by engines that can`() {
+        relayWhileServerLeaves(slack = 0)
+        moves.shouldBeEmpty()
+        reset()
+        relayWhileServerLeaves(canMoveRuns = false)
+        moves.shouldBeEmpty()
+    }
+}
--- a/routes/src/main/kotlin/org/hickorytiller/routes/RoutingConfiguration.kt
+++ b/routes/src/main/kotlin/org/hickorytiller/routes/RoutingConfiguration.kt
@@ -20,8 +20,8 @@
  */
 data class Customer(val id: CustomerId, val keys: List<String>, val priority: Int?)
 
-/** Capacity of a model engine in a pool. */
-data class EngineSpec(val slots: Int, val memoryTokens: Long)
+/** A model engine in a pool. [canMoveRuns] is whether it can move a run to another engine of the pool. */
+data class EngineSpec(val slots: Int, val memoryTokens: Long, val canMoveRuns: Boolean = false)
 
 /**
  * Limits and prices of a pool that is scaled automatically.
