Sum the load of peers when a server is chosen

Cause: each status that a host received summed the load of all its peers anew. With 95 hosts that is 105 sums over 94 hosts a second for two choices a second.

Change: placement reads the sum when it chooses a server or is asked for the requests in flight.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -155,6 +155,7 @@
 
     /** Starts the listeners and the tasks that follow the platform. */
     fun start() {
+        placement.followPeerLoad(peers::load)
         mesh.listen()
         val scope = loop.scope
         val listen = settings.listen
@@ -212,7 +213,6 @@
     private fun onStatus(status: HostStatus, isNew: Boolean) {
         if (isNew) log.info { "event=peer host=${status.host} run=${status.run} callers=${status.callerAddress}" }
         counters.applyPeerCounts(status.run, status.usage)
-        placement.replacePeerLoad(peers.load())
         placement.applyPeerPartLocations(status.parts)
         status.crashReports.forEach { suspects.applyPeerCrashReport(it, clock()) }
         status.readProgress?.let(::onPeerProgress)
--- a/placement/src/main/kotlin/org/hickorytiller/placement/Placement.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/Placement.kt
@@ -33,11 +33,15 @@
 /** Requests in flight on one server, and the tokens of their prompts that are not processed yet. */
 data class ServerLoad(val requests: Int, val pendingPrefillTokens: Int)
 
+/** Reads the load of all peers, by server. */
+typealias ReadPeerLoad = () -> Map<BackendServerId, ServerLoad>
+
 /** The backend servers as known to one host. Confined to the event loop. */
 class Placement(private val clock: Clock, private val rules: PlacementRules = PlacementRules()) {
     private val servers = HashMap<BackendServerId, Candidate>()
     private val partLocations = PartLocations(clock, rules)
     private val isolations = HashMap<PoolId, PrefillIsolation>()
+    private var readPeerLoad: ReadPeerLoad = { emptyMap() }
     private var peerLoad: Map<BackendServerId, ServerLoad> = emptyMap()
 
     /** Replaces the known servers. Keeps the state of a server that is still known, unless it was restarted. */
@@ -59,8 +63,11 @@
     fun servers(pool: PoolId): List<BackendServer> = servers.values.map { it.server }.filter { it.pool == pool }
 
     /** Replaces the load of all peers, by server. */
-    fun replacePeerLoad(load: Map<BackendServerId, ServerLoad>) {
-        peerLoad = load
+    fun replacePeerLoad(load: Map<BackendServerId, ServerLoad>) = followPeerLoad { load }
+
+    /** Reads the load of all peers with [read] when it is needed, which is less often than messages of peers arrive. */
+    fun followPeerLoad(read: ReadPeerLoad) {
+        readPeerLoad = read
     }
 
     /** Applies prompt part locations received from a peer. */
@@ -74,13 +81,16 @@
         .mapValues { ServerLoad(it.value.requests, it.value.pendingPrefillTokens) }
 
     /** Returns the number of requests in flight in [pool] of this host and, as far as known, its peers. */
-    fun inFlight(pool: PoolId): Int =
-        servers.values.filter { it.server.pool == pool }.sumOf { it.requests + (peerLoad[it.server.id]?.requests ?: 0) }
+    fun inFlight(pool: PoolId): Int {
+        peerLoad = readPeerLoad()
+        return servers.values.filter { it.server.pool == pool }.sumOf { it.running }
+    }
 
     /** Returns the server with the lowest cost for [request]; null if no server accepts it. */
     fun choose(request: PlacementRequest): BackendServer? {
         val usable = servers.values.filter { it.accepts(request) }
         if (usable.isEmpty()) return null
+        peerLoad = readPeerLoad()
         val now = clock()
         val healthy = usable.filter { it.avoidedUntil <= now }.ifEmpty { usable }
         val prompt = request.prompt ?: return healthy.minBy { it.plainCostMs(request) }.server
@@ -145,7 +155,7 @@
             server.state == BackendServerState.RUNNING &&
             server.id !in request.exclude
 
-        private val running get() = requests + (peerLoad[server.id]?.requests ?: 0)
+        val running get() = requests + (peerLoad[server.id]?.requests ?: 0)
 
         private fun domainCostMs(request: PlacementRequest) =
             if (server.failureDomain == request.hostDomain) 0.0 else REMOTE_DOMAIN_COST_MS
