Bound the bytes and the time that a faulty server can take

Cause: a backend server may send bytes that are no answer until its peer closes.

Ruled out by test: a head with endless fields, bytes that are no response, and the endless body of another response were bounded already.

In each case the connection is closed and the verdict says that the request may have run.

--- a/relay/src/main/kotlin/org/hickorytiller/relay/EventBuffer.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/EventBuffer.kt
@@ -5,6 +5,7 @@
 package org.hickorytiller.relay
 
 import org.hickorytiller.http.EventParser
+import org.hickorytiller.http.EventTooLargeException
 import java.io.ByteArrayOutputStream
 
 /** Splits one stream into complete events. */
@@ -23,9 +24,17 @@
         parser = EventParser()
     }
 
-    /** Adds the next bytes of the stream and returns the events that are complete; empty if there is none. */
-    fun feed(bytes: ByteArray): ByteArray {
-        val events = parser.feed(bytes)
+    /**
+     * Adds the next bytes of the stream and returns the events that are complete; empty if there is none. Returns null if
+     * an event exceeds the limit of the parser.
+     */
+    fun feed(bytes: ByteArray): ByteArray? {
+        val events =
+            try {
+                parser.feed(bytes)
+            } catch (_: EventTooLargeException) {
+                return null
+            }
         if (events.isEmpty()) return EMPTY
         val whole = ByteArrayOutputStream(bytes.size)
         for (event in events) {
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -16,6 +16,7 @@
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.Clock
 import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.TimeMs
 import org.hickorytiller.core.Verdict
 import org.hickorytiller.http.ResponseHead
 import org.hickorytiller.placement.Placement
@@ -34,7 +35,10 @@
  * @property bufferedHeadTimeoutMs time to the response head of a plain service for a request that may be retried, after
  *   which another server is tried; the body may take until the deadline
  * @property streamHeadTimeoutMs time to the response head of a stream that may be resumed
- * @property eventGapTimeoutMs pause between events after which a server counts as lost; callers disconnect after 2 s
+ * @property eventGapTimeoutMs pause between complete events after which a server counts as lost, whatever other bytes it
+ *   sends; callers disconnect after 2 s
+ * @property maxBodyBytes size of a response without events above which it is abandoned; a faulty server may send bytes
+ *   without end
  * @property minRemainingMs time before the deadline below which a request is not sent
  * @property maxUnreachableServers number of unreachable servers after which a request is abandoned
  */
@@ -42,6 +46,7 @@
     val bufferedHeadTimeoutMs: Long = 600,
     val streamHeadTimeoutMs: Long = 4_000,
     val eventGapTimeoutMs: Long = 1_700,
+    val maxBodyBytes: Int = 4_194_304,
     val minRemainingMs: Long = 5,
     val maxUnreachableServers: Int = 4,
 )
@@ -248,9 +253,12 @@
             markRunning()
             val body = ByteArrayOutputStream()
             while (true) {
-                val bytes =
-                    response.receive(request.deadline - clock()).getOrElse { return failDuringResponse(server, it) }
-                        ?: break
+                val waitMs = request.deadline - clock()
+                if (waitMs <= 0) return failDuringResponse(server, ExchangeFailure.TIMEOUT)
+                val bytes = response.receive(waitMs).getOrElse { return failDuringResponse(server, it) } ?: break
+                if (body.size() + bytes.size > rules.maxBodyBytes) {
+                    return failDuringResponse(server, ExchangeFailure.LOST)
+                }
                 body.write(bytes)
             }
             // A response that is not a stream cannot continue the stream that the caller has received a part of.
@@ -272,11 +280,14 @@
 
         private suspend fun relayStream(server: BackendServer, response: StartedResponse): AttemptResult {
             eventBuffer.discardPartial()
+            var lastEventAt = clock()
             while (true) {
-                val waitMs = minOf(request.deadline - clock(), gapTimeoutMs())
+                val waitMs = minOf(request.deadline, gapEnd(lastEventAt)) - clock()
+                if (waitMs <= 0) return failDuringResponse(server, ExchangeFailure.TIMEOUT)
                 val bytes = response.receive(waitMs).getOrElse { return failDuringResponse(server, it) } ?: break
-                val events = eventBuffer.feed(bytes)
+                val events = eventBuffer.feed(bytes) ?: return failDuringResponse(server, ExchangeFailure.LOST)
                 if (events.isEmpty()) continue
+                lastEventAt = clock()
                 markRunning()
                 if (!relayEvents(response.head, events)) return AttemptResult(null, isCallerGone = true)
             }
@@ -295,7 +306,9 @@
             return sink.sendEvents(events)
         }
 
-        private fun gapTimeoutMs() = if (canRetry()) rules.eventGapTimeoutMs else Long.MAX_VALUE
+        /** Time at which a server that has sent its last event at [lastEventAt] counts as lost. */
+        private fun gapEnd(lastEventAt: TimeMs): TimeMs =
+            if (canRetry()) lastEventAt + rules.eventGapTimeoutMs else request.deadline
     }
 
     private fun succeeded(server: BackendServer, request: RelayRequest) {
--- a/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
+++ b/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
@@ -51,6 +51,9 @@
         class Fails(val failure: ExchangeFailure) : Script
 
         class Responds(val status: Int, val chunks: List<String>, val thenFailure: ExchangeFailure? = null) : Script
+
+        /** Sends [chunk] again and again, each [everyMs] after the one before. */
+        class Endless(val status: Int, val chunk: String, val everyMs: Long) : Script
     }
 
     private fun events(vararg ids: Int) = ids.joinToString("") { "id: $it\ndata: t$it\n\n" }
@@ -88,6 +91,14 @@
             }
             StartedResponse(ResponseHead(script.status), receive) { releasedExchanges++ }.right()
         }
+        is Script.Endless -> {
+            val bytes = script.chunk.toByteArray()
+            val receive: ReceiveBytes = {
+                nowMs += script.everyMs
+                bytes.right()
+            }
+            StartedResponse(ResponseHead(script.status), receive) { releasedExchanges++ }.right()
+        }
     }
 
     private val sink =
@@ -296,4 +307,41 @@
         abandoned.single().sendCount shouldBe 1
         releasedExchanges shouldBe 1
     }
+
+    // Collected without a limit, such a body exhausts the memory of the process.
+    @Test
+    fun `a body without end is abandoned and the next server is tried`() {
+        val scripts = listOf(Script.Endless(200, "x".repeat(65_536), everyMs = 0), Script.Responds(200, listOf("ok")))
+        runBlocking { relay(scripts).run(request(ResponseMode.BUFFERED, isRetryable = true), sink) }.reason shouldBe OutcomeReason.ANSWERED
+        relayed.toString() shouldBe "200:ok"
+        releasedExchanges shouldBe 2
+    }
+
+    @Test
+    fun `an event without end is abandoned and the stream goes on at the next server`() {
+        val scripts = listOf(Script.Endless(200, "x".repeat(65_536), everyMs = 0), Script.Responds(200, listOf(events(1, 2))))
+        runBlocking { relay(scripts).run(request(ResponseMode.STREAM, isRetryable = true), sink) }.reason shouldBe OutcomeReason.ANSWERED
+        relayed.toString() shouldBe events(1, 2)
+    }
+
+    // A stalled server that sends a byte now and then must not hold the stream.
+    @Test
+    fun `bytes that complete no event do not extend the pause that a server may make`() {
+        val stalled = Script.Endless(200, ":", everyMs = 300)
+        val request = request(ResponseMode.STREAM, isRetryable = true).copy(deadline = TimeMs(nowMs + 60_000))
+        runBlocking { relay(listOf(stalled, Script.Responds(200, listOf(events(1))))).run(request, sink) }.reason shouldBe OutcomeReason.ANSWERED
+        (nowMs - request.receivedAt.value in 1_700L..2_100L) shouldBe true
+    }
+
+    @Test
+    fun `events and bytes without end stop at the deadline`() {
+        listOf(ResponseMode.STREAM to events(1), ResponseMode.BUFFERED to "x").forAll { (mode, chunk) ->
+            reset()
+            val startedMs = nowMs
+            val outcome = runBlocking { relay(listOf(Script.Endless(200, chunk, everyMs = 100))).run(request(mode, isRetryable = false), sink) }
+            outcome.reason shouldBe (if (mode == ResponseMode.STREAM) OutcomeReason.STREAM_BROKEN else OutcomeReason.DEADLINE)
+            nowMs - startedMs shouldBe 1_000
+            endedStreams shouldBe 0
+        }
+    }
 }
