--- a/core/src/main/kotlin/org/hickorytiller/core/BackendServer.kt
+++ b/core/src/main/kotlin/org/hickorytiller/core/BackendServer.kt
@@ -20,7 +20,7 @@
  * @property reclaimable whether the platform may reclaim the server at a few seconds' notice
  * @property startedMs start of this run of the server in milliseconds since 1970, or 0 if the platform does not report
  *   it. A server that restarts with the same id has lost all its state.
- * @property noticeMs time from this entry to the stop of a server that is leaving; null if the platform does not state it
+ * @property noticeMs time from this entry to the stop of a leaving server; null if the platform does not state it
  */
 data class BackendServer(
     val id: BackendServerId,
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
@@ -67,8 +67,7 @@
     }
 
     /** Sends [records] to all peers now. */
-    fun share(records: TopicRecords) =
-        records.divide(MAX_RECORD_BYTES).forEach { sendToAll(encodeTopicRecords(it)) }
+    fun share(records: TopicRecords) = records.divide(MAX_RECORD_BYTES).forEach { sendToAll(encodeTopicRecords(it)) }
 
     private fun sendToAll(bytes: ByteArray) = peers.destinations().filter { it != address }.forEach { send(bytes, it) }
 
--- a/placement/src/main/kotlin/org/hickorytiller/placement/Placement.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/Placement.kt
@@ -120,7 +120,7 @@
         return missingTokens
     }
 
-    /** Records that a prefill of [tokens] on [id], as returned by [started], has ended, since the response has started. */
+    /** Records that a prefill of [tokens] on [id], as returned by [started], has ended: the response has started. */
     fun prefillEnded(id: BackendServerId, tokens: Int) {
         servers[id]?.let { it.pendingPrefillTokens = maxOf(0, it.pendingPrefillTokens - tokens) }
     }
--- a/placement/src/main/kotlin/org/hickorytiller/placement/PrefillIsolation.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/PrefillIsolation.kt
@@ -2,8 +2,8 @@
  * Divides the servers of a pool between requests with long prompts and streams with short event gap targets.
  *
  * An engine prefills prompts between the tokens of its running requests, so a long prompt delays the next event of
- * every stream on the same server. The servers are ordered by a hash of their ids, which is equal on every host, and the
- * first ones take the long prompts. The size of each group follows the work that this host has recently placed.
+ * every stream on the same server. The servers are ordered by a hash of their ids, which is equal on every host, and
+ * the first ones take the long prompts. The size of each group follows the work that this host has recently placed.
  */
 package org.hickorytiller.placement
 
@@ -18,11 +18,7 @@
  * @property longPromptShare prompts are long if on average their prefill takes this share of the shortest event gap
  *   target: a few of them in a row then exceed the target
  */
-data class IsolationRules(
-    val windowMs: Long = 30_000,
-    val minRequests: Int = 8,
-    val longPromptShare: Double = 0.25,
-)
+data class IsolationRules(val windowMs: Long = 30_000, val minRequests: Int = 8, val longPromptShare: Double = 0.25)
 
 /** The work of one pool. Confined to the event loop. */
 internal class PrefillIsolation(private val clock: Clock, private val rules: IsolationRules = IsolationRules()) {
@@ -31,7 +27,7 @@
     /** Sums by event gap target, which stands for a kind of request. */
     private val sums = HashMap<Long, Sum>()
 
-    /** A request with [promptMs] of prefill for its complete prompt; [engineMs] is the work on the chosen server. */
+    /** A request with [promptMs] of prefill for its complete prompt, and [engineMs] of work on its server. */
     private class Work(val eventGapTargetMs: Long, val promptMs: Double, val engineMs: Double)
 
     private class Sum(var requests: Int = 0, var promptMs: Double = 0.0, var engineMs: Double = 0.0)
--- a/placement/src/test/kotlin/org/hickorytiller/placement/LongPromptLoadTest.kt
+++ b/placement/src/test/kotlin/org/hickorytiller/placement/LongPromptLoadTest.kt
@@ -53,8 +53,7 @@
         isolated.lateShare * 2 shouldBeLessThan mixed.lateShare
     }
 
-    private fun play(load: Load, rules: PlacementRules) =
-        VirtualEngines(load.model, load.engines, hosts = 8, rules).play(listOf(load.long, load.short), forMs = 60_000, warmUpMs = 5_000).also { results ->
-            println("${load.name}: long ${results.getValue(load.long).lateShare}, short ${results.getValue(load.short).lateShare}")
-        }
+    private fun play(load: Load, rules: PlacementRules) = VirtualEngines(load.model, load.engines, hosts = 8, rules).play(listOf(load.long, load.short), forMs = 60_000, warmUpMs = 5_000).also { results ->
+        println("${load.name}: long ${results.getValue(load.long).lateShare}, short ${results.getValue(load.short).lateShare}")
+    }
 }
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -116,7 +116,12 @@
             val server =
                 moved?.target ?: placement.choose(placementRequest()) ?: return finish(reasonOf(failure))
             // The budget was charged for a moved run before the move.
-            if (moved == null && sendCount > 0 && !retryBudget.tryAcquire(request.pool)) return finish(reasonOf(failure))
+            if (moved == null &&
+                sendCount > 0 &&
+                !retryBudget.tryAcquire(request.pool)
+            ) {
+                return finish(reasonOf(failure))
+            }
             val result = attemptWithMove(server, moved)
             triedServers += server.id
             failure = result.failure
--- a/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
+++ b/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
@@ -80,7 +80,7 @@
         val missing = (needed - expected.values.sum()).coerceAtLeast(0)
         val cheapestFirst = domains.sortedBy { scaling.domainPrices[it] }
         fullPriceCounts =
-            spread(missing, cheapestFirst.associateWith { scaling.max - reserved(status, it, perDomain, scaling) })
+            spread(missing, cheapestFirst.associateWith { scaling.max - reserved(status, it, perDomain) })
         return domains.flatMap { domain ->
             // The full-price order goes first, since both kinds of server in a domain share one limit.
             listOf(
@@ -118,7 +118,7 @@
      * Returns the part of the limit of [domain] that is reserved for reclaimable servers. While they are scarce, this
      * is the count of those that are running or starting, but at least one, so that they can be ordered again.
      */
-    private fun reserved(status: PoolStatus, domain: FailureDomain, wanted: Int, scaling: ScalingSpec): Int {
+    private fun reserved(status: PoolStatus, domain: FailureDomain, wanted: Int): Int {
         if (!isScarce(domain)) return wanted
         val starting = if (supply(domain).startingUntil > clock()) supply(domain).ordered else 0
         return maxOf(running(status, domain), starting, 1)
