Split the relay's event reading and run moves into files of their own

Change: EventReader reads the events of one response; PendingMove waits for the notice of a server; ServerAccess and ServerListeners group what belongs together. No change of behaviour; the tests keep their checks.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ConfigurationView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ConfigurationView.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hickorytiller.core.ClockReading
 import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.PoolId
 import org.hickorytiller.platform.CONFIGURATION_KEY
 import org.hickorytiller.platform.CONFIGURATION_TOPIC
 import org.hickorytiller.platform.FollowRules
@@ -81,6 +82,10 @@
         return proof.isFresh()
     }
 
+    /** Returns whether the engines of [pool] can move a run to another engine. */
+    fun canMoveRuns(pool: PoolId): Boolean =
+        table?.configuration?.pools?.any { it.id == pool && it.engine?.canMoveRuns == true } ?: false
+
     private suspend fun confirm(done: CompletableDeferred<Unit>) {
         try {
             follower.confirm()?.let(proof::recordRead)
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -6,7 +6,7 @@
 import kotlinx.coroutines.launch
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.HostId
-import org.hickorytiller.core.PoolId
+import org.hickorytiller.core.LogOffset
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.core.monotonicClock
 import org.hickorytiller.core.wallTimeMs
@@ -49,6 +49,7 @@
 import org.hickorytiller.relay.RelayCallbacks
 import org.hickorytiller.relay.RetryBudgetRules
 import org.hickorytiller.relay.RunMoves
+import org.hickorytiller.relay.ServerAccess
 import org.hickorytiller.routes.FreshnessProof
 import org.hickorytiller.routes.FreshnessRules
 import java.net.InetSocketAddress
@@ -84,13 +85,11 @@
             clock,
             proof::now,
             loop.scope,
-            ::onServers,
+            ServerListeners(::onServers, ::shareServerRecords),
             storeHealth,
             followRules.copy(peerSilenceMs = PEER_SILENCE_MS),
             progressSharing::isReader,
-        ) { from, records ->
-            mesh.share(TopicRecords(SERVER_TOPIC, from, records.map { TopicRecord(it.key, it.value) }))
-        }
+        )
     private val counters = WindowUsageCounters(process, bounds.usageWindowMs)
     private val metrics = DaemonMetrics()
     private val inFlight = InFlight()
@@ -103,7 +102,11 @@
             clock,
             settings.failureDomain,
             placement,
-            serverClient::open,
+            ServerAccess(
+                serverClient::open,
+                CrashProbe(suspects, clock, serverClient::acceptsConnections),
+                RunMoves(departures, RunMoveClient(serverConnections)::move, configuration::canMoveRuns),
+            ),
             HostRetryBudget(clock, retryBudgetRules()) { peers.destinations().size + 1 },
             RelayCallbacks(
                 onRun = { request -> request.customer?.let { counters.add(it, medianWallMs()) } },
@@ -113,8 +116,6 @@
                 },
                 onAbandoned = { request, outcome -> callers.logAbandoned(request, outcome) },
             ),
-            CrashProbe(suspects, clock, serverClient::acceptsConnections),
-            RunMoves(departures, RunMoveClient(serverConnections)::move, ::canMoveRuns),
         )
     private val claim = ClaimId(process.value)
     private val lease =
@@ -236,8 +237,8 @@
         departures.replace(servers)
     }
 
-    private fun canMoveRuns(pool: PoolId) =
-        configuration.table?.configuration?.pools?.any { it.id == pool && it.engine?.canMoveRuns == true } ?: false
+    private fun shareServerRecords(from: LogOffset, records: List<KeyedRecord>) =
+        mesh.share(TopicRecords(SERVER_TOPIC, from, records.map { TopicRecord(it.key, it.value) }))
 
     private fun onPeerRecords(message: TopicRecords) {
         if (message.topic != SERVER_TOPIC) return
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
@@ -30,17 +30,19 @@
 /** Sends records of the topic, of which the first has the given offset, to the peers. */
 internal typealias ShareRecords = (LogOffset, List<KeyedRecord>) -> Unit
 
+/** Callbacks of the view; a host that reads for others shares the records that it has read. */
+internal class ServerListeners(val onServers: OnServers, val shareRecords: ShareRecords)
+
 /** Follows the topic of the backend servers. Confined to the event loop. */
 internal class ServerView(
     store: StoreClient,
     private val clock: Clock,
     private val now: () -> ClockReading,
     private val scope: CoroutineScope,
-    private val onServers: OnServers,
+    private val listeners: ServerListeners,
     private val health: DependencyHealth,
     rules: FollowRules,
     isReader: IsReader,
-    shareRecords: ShareRecords,
 ) {
     private val servers = HashMap<BackendServerId, BackendServer>()
     private val missingSince = HashMap<BackendServerId, TimeMs>()
@@ -56,7 +58,7 @@
                 onChanges = ::applyChanges,
                 onCaughtUp = { _, source -> if (source == ProofSource.OWN_READ) health.succeeded() },
                 onFailure = { health.failed(it.name.lowercase()) },
-                onRead = { from, records -> if (isReader()) shareRecords(from, records) },
+                onRead = { from, records -> if (isReader()) listeners.shareRecords(from, records) },
             ),
             lingerMs = { if (isNearOutage()) 0 else LINGER_MS },
         )
@@ -130,7 +132,7 @@
         log.info { "event=server_gone id=$id pool=${server.pool} reason=$reason" }
     }
 
-    private fun publish() = onServers(servers.values)
+    private fun publish() = listeners.onServers(servers.values)
 
     private companion object {
         val log = KotlinLogging.logger {}
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/ServerViewTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/ServerViewTest.kt
@@ -41,11 +41,10 @@
                 monotonicClock,
                 { ClockReading(monotonicClock(), System.currentTimeMillis()) },
                 loop.scope,
-                placement::replace,
+                ServerListeners(placement::replace, shareRecords = { _, _ -> }),
                 health,
                 FollowRules(staleMs = 60_000, waitMs = 30),
                 isReader = { false },
-                shareRecords = { _, _ -> },
             )
         onLoop { store.put(TOPIC, "i-1", ENTRY) }
         loop.scope.launch { view.run() }
--- a/placement/src/main/kotlin/org/hickorytiller/placement/PrefillIsolation.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/PrefillIsolation.kt
@@ -40,7 +40,7 @@
         removeExpired()
     }
 
-    /** Returns the servers for requests with [eventGapTargetMs] among [servers]; all of them if there is no division. */
+    /** Returns the servers among [servers] for requests with [eventGapTargetMs]; all if they are not divided. */
     fun preferred(eventGapTargetMs: Long, servers: Collection<BackendServerId>): Set<BackendServerId> {
         removeExpired()
         val longPromptCount = longPromptServers(servers.size)
--- a/relay/src/main/kotlin/org/hickorytiller/relay/EventBuffer.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/EventBuffer.kt
@@ -25,8 +25,8 @@
     }
 
     /**
-     * Adds the next bytes of the stream and returns the events that are complete; empty if there is none. Returns null if
-     * an event exceeds the limit of the parser.
+     * Adds the next bytes of the stream and returns the events that are complete; empty if there is none. Returns null
+     * if an event exceeds the limit of the parser.
      */
     fun feed(bytes: ByteArray): ByteArray? {
         val events =
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -7,16 +7,11 @@
 
 import arrow.core.getOrElse
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.Deferred
-import kotlinx.coroutines.async
 import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.Clock
 import org.hickorytiller.core.FailureDomain
-import org.hickorytiller.core.TimeMs
 import org.hickorytiller.core.Verdict
 import org.hickorytiller.http.ResponseHead
 import org.hickorytiller.placement.Placement
@@ -35,8 +30,8 @@
  * @property bufferedHeadTimeoutMs time to the response head of a plain service for a request that may be retried, after
  *   which another server is tried; the body may take until the deadline
  * @property streamHeadTimeoutMs time to the response head of a stream that may be resumed
- * @property eventGapTimeoutMs pause between complete events after which a server counts as lost, whatever other bytes it
- *   sends; callers disconnect after 2 s
+ * @property eventGapTimeoutMs pause between complete events after which a server counts as lost, whatever other bytes
+ *   it sends; callers disconnect after 2 s
  * @property maxBodyBytes size of a response without events above which it is abandoned; a faulty server may send bytes
  *   without end
  * @property minRemainingMs time before the deadline below which a request is not sent
@@ -57,19 +52,20 @@
 /** Callbacks through which the relay reports to the rest of the process. */
 class RelayCallbacks(val onRun: OnRun, val onAttemptFailed: OnAttemptFailed, val onAbandoned: OnAbandoned)
 
+/** How the relay reaches backend servers; [runMoves] is null if runs are not moved. */
+class ServerAccess(val sendAttempt: SendAttempt, val crashProbe: CrashProbe, val runMoves: RunMoves? = null)
+
 /** Relays the requests of one host. Confined to the event loop. */
 class Relay(
     private val clock: Clock,
     private val hostDomain: FailureDomain,
     private val placement: Placement,
-    private val sendAttempt: SendAttempt,
+    private val servers: ServerAccess,
     private val retryBudget: HostRetryBudget,
     private val callbacks: RelayCallbacks,
-    private val crashProbe: CrashProbe,
-    private val runMoves: RunMoves? = null,
     private val rules: RelayRules = RelayRules(),
 ) {
-    private val suspects get() = crashProbe.suspects
+    private val suspects get() = servers.crashProbe.suspects
 
     /** Runs [request] until its response is relayed or it cannot be retried. */
     suspend fun run(request: RelayRequest, sink: ResponseSink): RelayOutcome =
@@ -78,9 +74,6 @@
     /** Result of one attempt. [failure] is null if the response was complete or the caller disconnected. */
     private class AttemptResult(val failure: ExchangeFailure?, val isCallerGone: Boolean = false)
 
-    /** A move of the run of an attempt, which begins when its server is about to stop. */
-    private class PendingMove(val run: Deferred<MovedRun?>, val hasBegun: () -> Boolean)
-
     /** The progress of one request over all its attempts. */
     private inner class Execution(private val request: RelayRequest, private val sink: ResponseSink) {
         private val triedServers = HashSet<BackendServerId>()
@@ -114,7 +107,8 @@
             if (suspects.quarantineMs(request.fingerprint, clock()) != null) return finish(OutcomeReason.QUARANTINED)
             val moved = movedRun.also { movedRun = null }
             val server =
-                moved?.target ?: placement.choose(placementRequest()) ?: return finish(reasonOf(failure))
+                moved?.target ?: placement.choose(placementRequestOf(request, triedServers))
+                    ?: return finish(reasonOf(failure))
             // The budget was charged for a moved run before the move.
             if (moved == null &&
                 sendCount > 0 &&
@@ -128,9 +122,6 @@
             return if (result.isCallerGone) outcome(OutcomeReason.CALLER_GONE) else evaluate(server, result.failure)
         }
 
-        private fun placementRequest(exclude: Set<BackendServerId> = triedServers) =
-            PlacementRequest(request.pool, request.prompt, hostDomain, exclude, request.route.eventGapTargetMs)
-
         private suspend fun evaluate(server: BackendServer, failure: ExchangeFailure?): RelayOutcome? {
             if (failure != null) {
                 if (movedRun == null) callbacks.onAttemptFailed(request, server.id, failure)
@@ -166,36 +157,22 @@
 
         /** Makes an attempt on [server] and moves its run elsewhere if the server is about to stop. */
         private suspend fun attemptWithMove(server: BackendServer, moved: MovedRun?): AttemptResult = coroutineScope {
-            val pending = if (canMove()) moveBeforeStop(server) else null
+            val pending = servers.runMoves?.startIfSupported(this, request, server) {
+                placement.choose(placementRequestOf(request, triedServers + server.id))
+                    ?.takeIf { retryBudget.tryAcquire(request.pool) }
+            }
             try {
                 val result = attemptOn(server, moved)
-                if (result.failure != null && pending?.hasBegun() == true) movedRun = pending.run.await()
+                if (result.failure != null) movedRun = pending?.awaitIfBegun()
                 result
             } finally {
-                pending?.run?.cancel()
+                pending?.cancel()
             }
         }
 
-        private fun canMove() =
-            request.route.responseMode == ResponseMode.STREAM && runMoves?.canMoveRuns?.invoke(request.pool) == true
-
-        private fun CoroutineScope.moveBeforeStop(server: BackendServer): PendingMove {
-            var hasBegun = false
-            val run =
-                async {
-                    val moves = checkNotNull(runMoves)
-                    delay(moves.delayMs(moves.departures.await(server.id)))
-                    val target = placement.choose(placementRequest(exclude = triedServers + server.id))
-                    if (target == null || !retryBudget.tryAcquire(request.pool)) return@async null
-                    hasBegun = true
-                    moves.move(request.id, server, target)
-                }
-            return PendingMove(run) { hasBegun }
-        }
-
         private suspend fun attemptOn(server: BackendServer, moved: MovedRun?): AttemptResult {
             lastServer = server.id
-            val prefillTokens = placement.started(server.id, placementRequest())
+            val prefillTokens = placement.started(server.id, placementRequestOf(request, triedServers))
             suspects.started(server.id, request.fingerprint)
             var isPrefilling = true
             try {
@@ -203,7 +180,9 @@
                 val resumeAfter = eventBuffer.lastEventId ?: request.resumeAfter
                 val attempt =
                     Attempt(server, request, timeoutMs, responseHeadTimeoutMs(timeoutMs), resumeAfter, moved)
-                val response = sendAttempt(attempt).getOrElse { return probeIfLost(server, recordFailure(server, it)) }
+                val response = servers.sendAttempt(attempt).getOrElse {
+                    return probeIfLost(server, recordFailure(server, it))
+                }
                 // A moved run is still the same run.
                 if (moved == null) sendCount++
                 verdict = Verdict.RAN
@@ -224,7 +203,7 @@
 
         /** Probes [server] after a lost connection, while the request still counts as in flight on it. */
         private suspend fun probeIfLost(server: BackendServer, result: AttemptResult): AttemptResult {
-            if (result.failure == ExchangeFailure.LOST) crashProbe.detectCrash(server)
+            if (result.failure == ExchangeFailure.LOST) servers.crashProbe.detectCrash(server)
             return result
         }
 
@@ -285,14 +264,10 @@
 
         private suspend fun relayStream(server: BackendServer, response: StartedResponse): AttemptResult {
             eventBuffer.discardPartial()
-            var lastEventAt = clock()
+            val gapMs = if (canRetry()) rules.eventGapTimeoutMs else null
+            val reader = EventReader(clock, response, eventBuffer, request.deadline, gapMs)
             while (true) {
-                val waitMs = minOf(request.deadline, gapEnd(lastEventAt)) - clock()
-                if (waitMs <= 0) return failDuringResponse(server, ExchangeFailure.TIMEOUT)
-                val bytes = response.receive(waitMs).getOrElse { return failDuringResponse(server, it) } ?: break
-                val events = eventBuffer.feed(bytes) ?: return failDuringResponse(server, ExchangeFailure.LOST)
-                if (events.isEmpty()) continue
-                lastEventAt = clock()
+                val events = reader.next().getOrElse { return failDuringResponse(server, it) } ?: break
                 markRunning()
                 if (!relayEvents(response.head, events)) return AttemptResult(null, isCallerGone = true)
             }
@@ -310,12 +285,11 @@
             }
             return sink.sendEvents(events)
         }
-
-        /** Time at which a server that has sent its last event at [lastEventAt] counts as lost. */
-        private fun gapEnd(lastEventAt: TimeMs): TimeMs =
-            if (canRetry()) lastEventAt + rules.eventGapTimeoutMs else request.deadline
     }
 
+    private fun placementRequestOf(request: RelayRequest, exclude: Set<BackendServerId>) =
+        PlacementRequest(request.pool, request.prompt, hostDomain, exclude, request.route.eventGapTargetMs)
+
     private fun succeeded(server: BackendServer, request: RelayRequest) {
         placement.succeeded(server.id)
         suspects.completed(request.fingerprint)
--- a/relay/src/main/kotlin/org/hickorytiller/relay/RunMove.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/RunMove.kt
@@ -5,10 +5,14 @@
 package org.hickorytiller.relay
 
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
+import kotlinx.coroutines.delay
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.BackendServerState
 import org.hickorytiller.core.PoolId
+import org.hickorytiller.routes.ResponseMode
 
 /** Names a copy of the memory of a run on the server that made it. */
 @JvmInline
@@ -38,6 +42,38 @@
 ) {
     /** Time to wait after the notice of [server] before its runs are moved, in which most of them end by themselves. */
     fun delayMs(server: BackendServer): Long = ((server.noticeMs ?: defaultNoticeMs) - leadMs).coerceAtLeast(0)
+
+    /**
+     * Starts to wait in [scope] until [server] is about to stop, and then moves the run of [request] to the server that
+     * [chooseTarget] returns, if any. Returns null if the response is no stream or its engine cannot move runs.
+     */
+    internal fun startIfSupported(
+        scope: CoroutineScope,
+        request: RelayRequest,
+        server: BackendServer,
+        chooseTarget: () -> BackendServer?,
+    ): PendingMove? {
+        if (request.route.responseMode != ResponseMode.STREAM || !canMoveRuns(request.pool)) return null
+        return PendingMove(scope) { begin ->
+            delay(delayMs(departures.await(server.id)))
+            chooseTarget()?.let { target ->
+                begin()
+                move(request.id, server, target)
+            }
+        }
+    }
+}
+
+/** A move that begins when the server of a run is about to stop. */
+internal class PendingMove(scope: CoroutineScope, work: suspend (begin: () -> Unit) -> MovedRun?) {
+    private var hasBegun = false
+    private val run = scope.async { work { hasBegun = true } }
+
+    /** Returns the moved run after the attempt has failed; null if the move has not begun. */
+    suspend fun awaitIfBegun(): MovedRun? = if (hasBegun) run.await() else null
+
+    /** Ends the move. */
+    fun cancel() = run.cancel()
 }
 
 /** The servers that are about to stop. Confined to the event loop. */
--- a/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
+++ b/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
@@ -71,14 +71,16 @@
             clock,
             domain,
             placement,
-            sendAttempt = { attempt ->
-                attempts += attempt
-                open(queue.removeFirst())
-            },
+            ServerAccess(
+                sendAttempt = { attempt ->
+                    attempts += attempt
+                    open(queue.removeFirst())
+                },
+                CrashProbe(suspects, clock) { it.id !in crashed },
+            ),
             // A host uses at most a sixteenth of the slack.
             HostRetryBudget(clock, RetryBudgetRules(ratio = 0.0, slack = slack * 16, windowMs = 10_000)) { 1 },
             RelayCallbacks(onRun = { runCount++ }, onAttemptFailed = { _, _, _ -> }, onAbandoned = { _, outcome -> abandoned += outcome }),
-            CrashProbe(suspects, clock) { it.id !in crashed },
         )
     }
 
--- a/relay/src/test/kotlin/org/hickorytiller/relay/RunMoveTest.kt
+++ b/relay/src/test/kotlin/org/hickorytiller/relay/RunMoveTest.kt
@@ -86,7 +86,7 @@
         val budget = HostRetryBudget(clock, RetryBudgetRules(ratio = 0.0, slack, windowMs = 10_000)) { 1 }
         val probe = CrashProbe(CrashSuspects(SuspectRules(crashes = 3)), clock) { true }
         val callbacks = RelayCallbacks({ runCount++ }, { _, _, _ -> }, { _, _ -> })
-        val relay = Relay(clock, domain, placement, sendAttempt, budget, callbacks, probe, runMoves)
+        val relay = Relay(clock, domain, placement, ServerAccess(sendAttempt, probe, runMoves), budget, callbacks)
         val outcome = async { relay.run(request(), sink) }
         firstEvents.await()
         val first = attempts.single().server.id
