Keep the minimum of reclaimable servers free while they are scarce

Cause: with a single place kept FleetPlannerTest found only 4 reclaimable servers asked for again, where at least 10 are needed.

--- a/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
+++ b/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
@@ -80,7 +80,7 @@
         val missing = (needed - expected.values.sum()).coerceAtLeast(0)
         val cheapestFirst = domains.sortedBy { scaling.domainPrices[it] }
         fullPriceCounts =
-            spread(missing, cheapestFirst.associateWith { scaling.max - reserved(status, it, perDomain) })
+            spread(missing, cheapestFirst.associateWith { scaling.max - reserved(status, it, perDomain, scaling) })
         return domains.flatMap { domain ->
             // The full-price order goes first, since both kinds of server in a domain share one limit.
             listOf(
@@ -116,12 +116,12 @@
 
     /**
      * Returns the part of the limit of [domain] that is reserved for reclaimable servers. While they are scarce, this
-     * is the count of those that are running or starting, but at least one, so that they can be ordered again.
+     * is the count of those that are running or starting, but at least the minimum, so that they can be ordered again.
      */
-    private fun reserved(status: PoolStatus, domain: FailureDomain, wanted: Int): Int {
+    private fun reserved(status: PoolStatus, domain: FailureDomain, wanted: Int, scaling: ScalingSpec): Int {
         if (!isScarce(domain)) return wanted
         val starting = if (supply(domain).startingUntil > clock()) supply(domain).ordered else 0
-        return maxOf(running(status, domain), starting, 1)
+        return maxOf(running(status, domain), starting, minCount(scaling))
     }
 
     private fun minCount(scaling: ScalingSpec) =
