Send no moved run to a third server when its target cannot be reached

Cause: found when the diff was read. An unreachable server was always followed by the next one, since nothing had been sent yet. A run that was moved has run on its first server, so a stream that may not be resumed could have run twice.

Change: after an unreachable server another one is tried only if no server can have run the request, or if the request may be repeated. RunMoveTest plays a target that cannot be reached, refuses or loses the run; the first case fails without the change by the rule above, all three pass.

--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -136,7 +136,9 @@
         private fun canRetry() = request.route.isRetryable && sendCount < request.route.maxAttempts
 
         private fun recordAndCheckRetry(failure: ExchangeFailure): Boolean = when (failure) {
-            ExchangeFailure.UNREACHABLE -> ++unreachableCount < rules.maxUnreachableServers
+            // A moved run that cannot reach its target has run already.
+            ExchangeFailure.UNREACHABLE ->
+                ++unreachableCount < rules.maxUnreachableServers && (verdict == Verdict.NOT_RUN || canRetry())
             ExchangeFailure.REFUSED, ExchangeFailure.WRONG_SERVER ->
                 sendCount < request.route.maxAttempts && (verdict == Verdict.NOT_RUN || canRetry())
             ExchangeFailure.LOST, ExchangeFailure.TIMEOUT -> canRetry()
--- a/relay/src/test/kotlin/org/hickorytiller/relay/RunMoveTest.kt
+++ b/relay/src/test/kotlin/org/hickorytiller/relay/RunMoveTest.kt
@@ -54,9 +54,10 @@
         slack: Int = 160,
         canMoveRuns: Boolean = true,
         isUnlisted: Boolean = false,
+        targetFailure: ExchangeFailure? = null,
         move: MoveRun = { _, source, target -> MovedRun(source, target, RunHandle("h1")) },
     ): RelayOutcome = runBlocking {
-        publish(listOf(server("s1"), server("s2")))
+        publish(listOf(server("s1"), server("s2"), server("s3")))
         val firstEvents = CompletableDeferred<Unit>()
         val firstEnds = CompletableDeferred<Unit>()
         val runMoves =
@@ -69,9 +70,10 @@
                 },
                 { canMoveRuns },
             )
-        val sendAttempt: SendAttempt = { attempt ->
+        val sendAttempt: SendAttempt = sendAttempt@{ attempt ->
             attempts += attempt
             val isFirst = attempts.size == 1
+            if (!isFirst && targetFailure != null) return@sendAttempt targetFailure.left()
             val chunks = ArrayDeque(if (isFirst) listOf(event(1) + event(2)) else listOf(event(3), event(4)))
             val receive: ReceiveBytes = {
                 val chunk = chunks.removeFirstOrNull()
@@ -90,7 +92,7 @@
         val outcome = async { relay.run(request(), sink) }
         firstEvents.await()
         val first = attempts.single().server.id
-        val others = listOf(server("s1"), server("s2")).filter { it.id != first }
+        val others = listOf(server("s1"), server("s2"), server("s3")).filter { it.id != first }
         publish(if (isUnlisted) others else others + server(first.value, BackendServerState.LEAVING))
         repeat(10) { yield() }
         // The server stops whether or not the run was moved.
@@ -146,6 +148,16 @@
         attempts.size shouldBe 1
     }
 
+    // The request has run on the first server, so a new attempt elsewhere would run it twice.
+    @Test
+    fun `a stream whose moved run cannot continue is not sent to a third server`() {
+        listOf(ExchangeFailure.UNREACHABLE, ExchangeFailure.REFUSED, ExchangeFailure.LOST).forAll { failure ->
+            reset()
+            relayWhileServerLeaves(targetFailure = failure).reason shouldBe OutcomeReason.STREAM_BROKEN
+            attempts.size shouldBe 2
+        }
+    }
+
     @Test
     fun `a run that the target has no room for goes on where it was stopped`() {
         val outcome = relayWhileServerLeaves(move = { _, source, _ -> MovedRun(source, source, RunHandle("h1")) })
