Read a missing record of backend servers after 100 ms

Cause: a host waited 400 ms after a reader's report before it read a record that had not arrived. Not traced in logs that a message was lost there.

Change: 100 ms, since readers send records before they report them.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -87,7 +87,7 @@
             loop.scope,
             ServerListeners(::onServers, ::shareServerRecords),
             storeHealth,
-            followRules.copy(peerSilenceMs = PEER_SILENCE_MS),
+            followRules.copy(maxLagMs = PEER_RECORDS_MS, peerSilenceMs = PEER_SILENCE_MS),
             progressSharing::isReader,
         )
     private val counters = WindowUsageCounters(process, bounds.usageWindowMs)
@@ -294,6 +294,10 @@
         // Readers report their progress once a second. A leaving server must be known within two seconds, so a host
         // reads for itself when a report is overdue.
         const val PEER_SILENCE_MS = 1_300L
+
+        // Readers send records before they report them. A lost record shows up to 1.4 s after it was written, since a
+        // reader gathers changes for 400 ms and reports once a second.
+        const val PEER_RECORDS_MS = 100L
         const val STOP_ACCEPT_MS = 3_300L
         const val STOP_MARGIN_MS = 700L
         const val MS_PER_S = 1000.0
