Log crashes of servers with the requests in flight on them

Cause: the logs could not tell three hypotheses on repeated crashes apart: crashes not counted together, counted and withdrawn, or not detected. Change: a line server_crashed for each detected crash with the requests in flight and whether it counts; attempt_failed names the shared parts of the prompt. No decision changes.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -42,6 +42,7 @@
 import org.hickorytiller.quarantine.CrashProbe
 import org.hickorytiller.quarantine.CrashSuspects
 import org.hickorytiller.quarantine.Quarantine
+import org.hickorytiller.quarantine.RequestFingerprint
 import org.hickorytiller.quarantine.SuspectRules
 import org.hickorytiller.relay.Departures
 import org.hickorytiller.relay.HostRetryBudget
@@ -96,7 +97,7 @@
     private val serverConnections = HttpClient(loop.group, SERVER_LIMITS)
     private val serverClient = BackendServerClient(serverConnections)
     private val departures = Departures()
-    private val suspects = CrashSuspects(SuspectRules(crashes = QUARANTINE_CRASHES), ::onQuarantine)
+    private val suspects = CrashSuspects(SuspectRules(crashes = QUARANTINE_CRASHES), ::onCrash, ::onQuarantine)
     private val relay: Relay =
         Relay(
             clock,
@@ -112,7 +113,10 @@
                 onRun = { request -> request.customer?.let { counters.add(it, medianWallMs()) } },
                 onAttemptFailed = { request, server, failure ->
                     metrics.attemptFailed(failure.code)
-                    log.info { "event=attempt_failed id=${request.id} server=$server reason=${failure.code}" }
+                    log.info {
+                        "event=attempt_failed id=${request.id} server=$server reason=${failure.code} " +
+                            "parts=${request.prompt?.sharedParts?.joinToString(",") { it.id.toString() }}"
+                    }
                 },
                 onAbandoned = { request, outcome -> callers.logAbandoned(request, outcome) },
             ),
@@ -245,6 +249,11 @@
         servers.onPeerRecords(message.from, message.records.map { KeyedRecord(it.key, it.value) })
     }
 
+    private fun onCrash(server: BackendServer, requests: Set<RequestFingerprint>, isCounted: Boolean) = log.warn {
+        "event=server_crashed server=${server.id} domain=${server.failureDomain} counted=$isCounted " +
+            "requests=${requests.joinToString(",")}"
+    }
+
     private fun onQuarantine(quarantine: Quarantine) = log.warn {
         "event=quarantined request=${quarantine.fingerprint} forMs=${quarantine.remainingMs}"
     }
--- a/placement/src/main/kotlin/org/hickorytiller/placement/Prompt.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/Prompt.kt
@@ -5,7 +5,14 @@
 
 /** Identifier of a part of a prompt; parts with equal ids have equal text. */
 @JvmInline
-value class PromptPartId(val value: Long)
+value class PromptPartId(val value: Long) {
+    /** The hexadecimal digits in which callers write the id. */
+    override fun toString() = value.toULong().toString(HEXADECIMAL)
+
+    private companion object {
+        const val HEXADECIMAL = 16
+    }
+}
 
 /** A part of a prompt with [tokens] tokens. */
 data class PromptPart(val id: PromptPartId, val tokens: Int)
--- a/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashSuspects.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashSuspects.kt
@@ -22,6 +22,9 @@
 /** Sends a new quarantine to the peers. */
 typealias ShareQuarantine = (Quarantine) -> Unit
 
+/** Called for each crash with the requests in flight; the flag is false if the crash makes none of them a suspect. */
+typealias OnCrash = (BackendServer, Set<RequestFingerprint>, Boolean) -> Unit
+
 /**
  * Rules for suspects.
  *
@@ -43,7 +46,11 @@
 )
 
 /** Suspects and quarantined fingerprints of one router. [share] is called with each new quarantine. */
-class CrashSuspects(private val rules: SuspectRules = SuspectRules(), private val share: ShareQuarantine = {}) {
+class CrashSuspects(
+    private val rules: SuspectRules = SuspectRules(),
+    private val onCrash: OnCrash = { _, _, _ -> },
+    private val share: ShareQuarantine = {},
+) {
     private val inFlight = HashMap<BackendServerId, MutableMap<RequestFingerprint, Int>>()
     private val losses = ArrayDeque<Loss>()
     private val crashesByRequest = LinkedHashMap<RequestFingerprint, MutableMap<ServerIncarnation, TimeMs>>()
@@ -75,6 +82,8 @@
         val loss = Loss(server.incarnation, server.failureDomain, requests, now)
         val sameDomain = losses.filter { it.domain == loss.domain && now - it.at < rules.domainLossMs }
         losses.addLast(loss)
+        val isCounted = !isDuringEviction(loss, now) && sameDomain.isEmpty()
+        onCrash(server, requests, isCounted)
         if (isDuringEviction(loss, now)) return
         if (sameDomain.isEmpty()) recordCrash(loss, now) else sameDomain.forEach(::withdrawCrash)
     }
