Count crashes of servers by the parts of prompts

Cause: crashes were counted for whole requests (customer, target, body), so requests that differ but share a prompt part that crashes servers never added up. Class of fault: evidence is kept under a key that is finer than the cause. Change: PartSuspects counts crashes by part over all hosts; an answer that begins after a crash clears the parts of its prompt; three crashes without an answer quarantine a part, crashes in one domain within 2 s counting as one. A part that only comes along with the cause is still sent without it. Evidence goes between hosts in a message of its own, since the status of a reader fills a datagram at 128 hosts; a host that starts learns the quarantines from any peer.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -19,6 +19,8 @@
 import org.hickorytiller.leases.ConditionalLeaseTiming
 import org.hickorytiller.mesh.HostStatus
 import org.hickorytiller.mesh.Mesh
+import org.hickorytiller.mesh.MeshListeners
+import org.hickorytiller.mesh.MeshSources
 import org.hickorytiller.mesh.PeerTable
 import org.hickorytiller.mesh.StoreReadProgress
 import org.hickorytiller.mesh.TopicRecord
@@ -41,6 +43,8 @@
 import org.hickorytiller.platform.encodeDirectory
 import org.hickorytiller.quarantine.CrashProbe
 import org.hickorytiller.quarantine.CrashSuspects
+import org.hickorytiller.quarantine.PartFingerprint
+import org.hickorytiller.quarantine.PartSuspects
 import org.hickorytiller.quarantine.Quarantine
 import org.hickorytiller.quarantine.RequestFingerprint
 import org.hickorytiller.quarantine.SuspectRules
@@ -98,6 +102,7 @@
     private val serverClient = BackendServerClient(serverConnections)
     private val departures = Departures()
     private val suspects = CrashSuspects(SuspectRules(crashes = QUARANTINE_CRASHES), ::onCrash, ::onQuarantine)
+    private val partSuspects = PartSuspects(onQuarantine = ::onPartQuarantine)
     private val relay: Relay =
         Relay(
             clock,
@@ -105,7 +110,7 @@
             placement,
             ServerAccess(
                 serverClient::open,
-                CrashProbe(suspects, clock, serverClient::acceptsConnections),
+                CrashProbe(suspects, clock, partSuspects, serverClient::acceptsConnections),
                 RunMoves(departures, RunMoveClient(serverConnections)::move, configuration::canMoveRuns),
             ),
             HostRetryBudget(clock, retryBudgetRules()) { peers.destinations().size + 1 },
@@ -141,7 +146,14 @@
                 ::readProgress,
             ),
         )
-    private val mesh: Mesh = Mesh(loop.group, settings.listen.mesh, peers, status::build, ::onStatus, ::onPeerRecords)
+    private val mesh: Mesh =
+        Mesh(
+            loop.group,
+            settings.listen.mesh,
+            peers,
+            MeshSources(status::build) { partSuspects.evidence(clock()) },
+            MeshListeners(::onStatus, { partSuspects.applyPeerEvidence(it, clock()) }, ::onPeerRecords),
+        )
     private val stopTask: StopTask =
         StopTask(
             clock,
@@ -258,6 +270,10 @@
         "event=quarantined request=${quarantine.fingerprint} forMs=${quarantine.remainingMs}"
     }
 
+    private fun onPartQuarantine(part: PartFingerprint, isQuarantined: Boolean) = log.warn {
+        "event=${if (isQuarantined) "part_quarantined" else "part_released"} part=$part"
+    }
+
     private fun acceptsCallers() = !stopTask.isStopping && configuration.table != null
 
     /** Whether callers are served here. A host that is cut off from the store rejects keyed requests. */
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
@@ -1,4 +1,4 @@
-/** Sends the local host's status to all peers at an interval and receives theirs, one datagram each. */
+/** Sends the local host's status and evidence to all peers at an interval and receives theirs, one datagram each. */
 package org.hickorytiller.mesh
 
 import io.github.oshai.kotlinlogging.KotlinLogging
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.coroutines.delay
+import org.hickorytiller.quarantine.PartEvidence
 import java.net.InetSocketAddress
 
 /** Builds the local host's status when it is sent. */
@@ -21,17 +22,28 @@
 /** Called for each status received; the flag is true if it is the first of its process run. */
 typealias OnStatus = (HostStatus, Boolean) -> Unit
 
+/** Builds the local host's evidence on prompt parts when it is sent. */
+typealias BuildPartEvidence = () -> PartEvidence
+
+/** Called for evidence of a peer on prompt parts. */
+typealias OnPartEvidence = (PartEvidence) -> Unit
+
 /** Called for records that a peer has read from the platform's store. */
 typealias OnTopicRecords = (TopicRecords) -> Unit
 
-/** The exchange of statuses and records. Confined to the event loop of [group], which must have one thread. */
+/** Functions that build the messages of the local host. */
+class MeshSources(val status: BuildStatus, val partEvidence: BuildPartEvidence)
+
+/** Functions that are called for the messages of peers. */
+class MeshListeners(val onStatus: OnStatus, val onPartEvidence: OnPartEvidence, val onTopicRecords: OnTopicRecords)
+
+/** The exchange of messages between hosts. Confined to the event loop of [group], which must have one thread. */
 class Mesh(
     private val group: EventLoopGroup,
     private val address: InetSocketAddress,
     private val peers: PeerTable,
-    private val build: BuildStatus,
-    private val onStatus: OnStatus,
-    private val onTopicRecords: OnTopicRecords = { },
+    private val sources: MeshSources,
+    private val listeners: MeshListeners,
     private val rules: MeshRules = MeshRules(),
 ) {
     private var channel: Channel? = null
@@ -59,11 +71,12 @@
         }
     }
 
-    /** Sends the status to all peers now. */
+    /** Sends the status and the evidence to all peers now. */
     fun announce() {
-        val bytes = encodeStatus(build())
-        if (logIfTooLong(bytes)) return
-        sendToAll(bytes)
+        val bytes = encodeStatus(sources.status())
+        if (!logIfTooLong(bytes)) sendToAll(bytes)
+        val evidence = sources.partEvidence()
+        if (!evidence.isEmpty) sendToAll(encodePartEvidence(evidence))
     }
 
     /** Sends [records] to all peers now. */
@@ -93,14 +106,17 @@
             packet.content().readBytes(bytes)
             val message = parseMessage(bytes) ?: return
             val status = decodeStatus(message)
-            if (status != null) receive(status) else decodeTopicRecords(message)?.let(onTopicRecords)
+            if (status != null) return receive(status)
+            val evidence = decodePartEvidence(message)
+            if (evidence != null) return listeners.onPartEvidence(evidence)
+            decodeTopicRecords(message)?.let(listeners.onTopicRecords)
         }
 
         private fun receive(status: HostStatus) {
             val isNew = peers.receive(status)
-            onStatus(status, isNew)
+            listeners.onStatus(status, isNew)
             // A host that has just started learns its peers at once.
-            if (isNew) send(encodeStatus(build()), status.meshAddress)
+            if (isNew) send(encodeStatus(sources.status()), status.meshAddress)
         }
 
         @Deprecated("Netty's name for the callback")
--- a/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashProbe.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashProbe.kt
@@ -7,19 +7,22 @@
 /** Whether a server accepts a new connection. */
 typealias AcceptsConnections = suspend (BackendServer) -> Boolean
 
-/** Probes servers and records detected crashes in [suspects]. */
+/** Probes servers and records detected crashes in [suspects] and [partSuspects]. */
 class CrashProbe(
     val suspects: CrashSuspects,
     private val clock: Clock,
+    val partSuspects: PartSuspects = PartSuspects(),
     private val acceptsConnections: AcceptsConnections,
 ) {
     /**
      * Connects to [server] after a connection to it was lost. If it accepts none, it has crashed, and the requests in
-     * flight on it become suspects. Returns whether it has crashed.
+     * flight on it and the parts of their prompts become suspects. Returns whether it has crashed.
      */
     suspend fun detectCrash(server: BackendServer): Boolean {
         if (acceptsConnections(server)) return false
-        suspects.crashed(server, clock())
+        val now = clock()
+        suspects.crashed(server, now)
+        partSuspects.crashed(server, now)
         return true
     }
 }
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -17,6 +17,7 @@
 import org.hickorytiller.placement.Placement
 import org.hickorytiller.placement.PlacementRequest
 import org.hickorytiller.quarantine.CrashProbe
+import org.hickorytiller.quarantine.PartRun
 import org.hickorytiller.routes.ResponseMode
 import java.io.ByteArrayOutputStream
 
@@ -66,6 +67,7 @@
     private val rules: RelayRules = RelayRules(),
 ) {
     private val suspects get() = servers.crashProbe.suspects
+    private val partSuspects get() = servers.crashProbe.partSuspects
 
     /** Runs [request] until its response is relayed or it cannot be retried. */
     suspend fun run(request: RelayRequest, sink: ResponseSink): RelayOutcome =
@@ -104,7 +106,7 @@
         /** Makes the next attempt if it is allowed. Returns null if another attempt may follow. */
         private suspend fun attemptNext(): RelayOutcome? {
             if (request.deadline - clock() < rules.minRemainingMs) return finish(OutcomeReason.DEADLINE)
-            if (suspects.quarantineMs(request.fingerprint, clock()) != null) return finish(OutcomeReason.QUARANTINED)
+            if (isQuarantined(request)) return finish(OutcomeReason.QUARANTINED)
             val moved = movedRun.also { movedRun = null }
             val server =
                 moved?.target ?: placement.choose(placementRequestOf(request, triedServers))
@@ -176,6 +178,7 @@
             lastServer = server.id
             val prefillTokens = placement.started(server.id, placementRequestOf(request, triedServers))
             suspects.started(server.id, request.fingerprint)
+            val partRun = partSuspects.started(server.id, request.partFingerprints)
             var isPrefilling = true
             try {
                 val timeoutMs = request.deadline - clock()
@@ -192,7 +195,7 @@
                 placement.prefillEnded(server.id, prefillTokens)
                 isPrefilling = false
                 try {
-                    return probeIfLost(server, relayResponse(server, response))
+                    return probeIfLost(server, relayResponse(server, response, partRun))
                 } finally {
                     response.release()
                 }
@@ -200,6 +203,7 @@
                 if (isPrefilling) placement.prefillEnded(server.id, prefillTokens)
                 placement.ended(server.id)
                 suspects.ended(server.id, request.fingerprint)
+                partSuspects.ended(partRun)
             }
         }
 
@@ -230,12 +234,20 @@
 
         private fun canRetryIfNextFails() = request.route.isRetryable && sendCount + 1 < request.route.maxAttempts
 
-        private suspend fun relayResponse(server: BackendServer, response: StartedResponse): AttemptResult {
+        private suspend fun relayResponse(
+            server: BackendServer,
+            response: StartedResponse,
+            partRun: PartRun,
+        ): AttemptResult {
             val isStream = request.route.responseMode == ResponseMode.STREAM && response.head.status in SUCCESS
-            return if (isStream) relayStream(server, response) else relayComplete(server, response)
+            return if (isStream) relayStream(server, response, partRun) else relayComplete(server, response, partRun)
         }
 
-        private suspend fun relayComplete(server: BackendServer, response: StartedResponse): AttemptResult {
+        private suspend fun relayComplete(
+            server: BackendServer,
+            response: StartedResponse,
+            partRun: PartRun,
+        ): AttemptResult {
             markRunning()
             val body = ByteArrayOutputStream()
             while (true) {
@@ -254,6 +266,7 @@
                 return AttemptResult(failure = null)
             }
             succeeded(server, request)
+            if (response.head.status in SUCCESS) partSuspects.answered(partRun, clock())
             errorResponse = null
             hasResponseStarted = true
             return AttemptResult(null, isCallerGone = !sink.sendResponse(response.head, body.toByteArray()))
@@ -264,17 +277,23 @@
             return AttemptResult(failure)
         }
 
-        private suspend fun relayStream(server: BackendServer, response: StartedResponse): AttemptResult {
+        private suspend fun relayStream(
+            server: BackendServer,
+            response: StartedResponse,
+            partRun: PartRun,
+        ): AttemptResult {
             eventBuffer.discardPartial()
             val gapMs = if (canRetry()) rules.eventGapTimeoutMs else null
             val reader = EventReader(clock, response, eventBuffer, request.deadline, gapMs)
             while (true) {
                 val events = reader.next().getOrElse { return failDuringResponse(server, it) } ?: break
                 markRunning()
+                partSuspects.answerContinued(partRun, clock())
                 if (!relayEvents(response.head, events)) return AttemptResult(null, isCallerGone = true)
             }
             if (eventBuffer.hasPartialEvent) return failDuringResponse(server, ExchangeFailure.LOST)
             succeeded(server, request)
+            partSuspects.answered(partRun, clock())
             if (!hasResponseStarted && !sink.startStream(response.head)) return AttemptResult(null, isCallerGone = true)
             hasResponseStarted = true
             return AttemptResult(null, isCallerGone = !sink.endStream())
@@ -297,6 +316,9 @@
         suspects.completed(request.fingerprint)
     }
 
+    private fun isQuarantined(request: RelayRequest) = suspects.quarantineMs(request.fingerprint, clock()) != null ||
+        partSuspects.isQuarantined(request.partFingerprints, clock())
+
     private fun reasonOf(failure: ExchangeFailure?): OutcomeReason = when (failure) {
         null -> OutcomeReason.NO_SERVER
         ExchangeFailure.UNREACHABLE -> OutcomeReason.UNREACHABLE
--- a/relay/src/main/kotlin/org/hickorytiller/relay/RelayRequest.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/RelayRequest.kt
@@ -6,6 +6,7 @@
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.http.RequestHead
 import org.hickorytiller.placement.Prompt
+import org.hickorytiller.quarantine.PartFingerprint
 import org.hickorytiller.quarantine.RequestFingerprint
 import org.hickorytiller.routes.Route
 
@@ -42,4 +43,8 @@
     val receivedAt: TimeMs,
     val deadline: TimeMs,
     val fingerprint: RequestFingerprint,
-)
+) {
+    /** The parts of the prompt that may crash servers whatever else a request holds. */
+    val partFingerprints: List<PartFingerprint> =
+        prompt?.sharedParts.orEmpty().map { PartFingerprint(it.id.toString()) }
+}
