Count requests that crash servers like prompt parts, and keep quarantines on hosts that start

Cause: CrashSuspects blamed all requests in flight, also those whose answer had begun; crash reports were sent for 3 s and quarantines not at all. Change: SuspectTable takes the fingerprint of the request beside those of the parts; CrashSuspects stays with the chat-completions front end, without the peer reports that only the daemon used.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -42,12 +42,8 @@
 import org.hickorytiller.platform.StoreClient
 import org.hickorytiller.platform.encodeDirectory
 import org.hickorytiller.quarantine.CrashProbe
-import org.hickorytiller.quarantine.CrashSuspects
-import org.hickorytiller.quarantine.PartFingerprint
-import org.hickorytiller.quarantine.PartSuspects
-import org.hickorytiller.quarantine.Quarantine
-import org.hickorytiller.quarantine.RequestFingerprint
-import org.hickorytiller.quarantine.SuspectRules
+import org.hickorytiller.quarantine.Fingerprint
+import org.hickorytiller.quarantine.SuspectTable
 import org.hickorytiller.relay.Departures
 import org.hickorytiller.relay.HostRetryBudget
 import org.hickorytiller.relay.Relay
@@ -101,8 +97,7 @@
     private val serverConnections = HttpClient(loop.group, SERVER_LIMITS)
     private val serverClient = BackendServerClient(serverConnections)
     private val departures = Departures()
-    private val suspects = CrashSuspects(SuspectRules(crashes = QUARANTINE_CRASHES), ::onCrash, ::onQuarantine)
-    private val partSuspects = PartSuspects(onQuarantine = ::onPartQuarantine)
+    private val suspects = SuspectTable(onCrash = ::onCrash, onQuarantine = ::onQuarantineChange)
     private val relay: Relay =
         Relay(
             clock,
@@ -110,7 +105,8 @@
             placement,
             ServerAccess(
                 serverClient::open,
-                CrashProbe(suspects, clock, partSuspects, serverClient::acceptsConnections),
+                CrashProbe(clock, suspects::crashed, serverClient::acceptsConnections),
+                suspects,
                 RunMoves(departures, RunMoveClient(serverConnections)::move, configuration::canMoveRuns),
             ),
             HostRetryBudget(clock, retryBudgetRules()) { peers.destinations().size + 1 },
@@ -142,7 +138,6 @@
                 ::canServe,
                 { dutyTask?.leaseLogEnd },
                 ::medianWallMs,
-                { suspects.recentCrashReports(clock()) },
                 ::readProgress,
             ),
         )
@@ -151,8 +146,8 @@
             loop.group,
             settings.listen.mesh,
             peers,
-            MeshSources(status::build) { partSuspects.evidence(clock()) },
-            MeshListeners(::onStatus, { partSuspects.applyPeerEvidence(it, clock()) }, ::onPeerRecords),
+            MeshSources(status::build) { suspects.evidence(clock()) },
+            MeshListeners(::onStatus, { suspects.applyPeerEvidence(it, clock()) }, ::onPeerRecords),
         )
     private val stopTask: StopTask =
         StopTask(
@@ -231,7 +226,6 @@
         if (isNew) log.info { "event=peer host=${status.host} run=${status.run} callers=${status.callerAddress}" }
         counters.applyPeerCounts(status.run, status.usage)
         placement.applyPeerPartLocations(status.parts)
-        status.crashReports.forEach { suspects.applyPeerCrashReport(it, clock()) }
         status.readProgress?.let(::onPeerProgress)
         status.leaseLogEnd?.let { dutyTask?.onPeerHolder(it) }
     }
@@ -261,17 +255,14 @@
         servers.onPeerRecords(message.from, message.records.map { KeyedRecord(it.key, it.value) })
     }
 
-    private fun onCrash(server: BackendServer, requests: Set<RequestFingerprint>, isCounted: Boolean) = log.warn {
-        "event=server_crashed server=${server.id} domain=${server.failureDomain} counted=$isCounted " +
-            "requests=${requests.joinToString(",")}"
+    private fun onCrash(server: BackendServer, suspected: Set<Fingerprint>) = log.warn {
+        "event=server_crashed server=${server.id} domain=${server.failureDomain} suspects=${suspected.joinToString(
+            ",",
+        )}"
     }
 
-    private fun onQuarantine(quarantine: Quarantine) = log.warn {
-        "event=quarantined request=${quarantine.fingerprint} forMs=${quarantine.remainingMs}"
-    }
-
-    private fun onPartQuarantine(part: PartFingerprint, isQuarantined: Boolean) = log.warn {
-        "event=${if (isQuarantined) "part_quarantined" else "part_released"} part=$part"
+    private fun onQuarantineChange(fingerprint: Fingerprint, isQuarantined: Boolean) = log.warn {
+        "event=${if (isQuarantined) "quarantined" else "quarantine_lifted"} fingerprint=$fingerprint"
     }
 
     private fun acceptsCallers() = !stopTask.isStopping && configuration.table != null
@@ -331,10 +322,6 @@
         const val RETRY_SHARE = 0.75
         const val PERCENT = 100
 
-        // A crash makes all requests in flight on the server suspect, so one or two crashes may be unrelated to a
-        // request. A third without a complete response in between is not, and callers are guaranteed at most three.
-        const val QUARANTINE_CRASHES = 3
-
         val CALLER_LIMITS = HttpLimits(idleTimeoutMs = 300_000, headTimeoutMs = 3_000)
         val STORE_LIMITS = HttpLimits(connectTimeoutMs = 500)
         val SERVER_LIMITS = HttpLimits(connectTimeoutMs = 400)
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/HostStatusBuilder.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/HostStatusBuilder.kt
@@ -8,14 +8,12 @@
 import org.hickorytiller.mesh.StoreReadProgress
 import org.hickorytiller.metering.WindowUsageCounters
 import org.hickorytiller.placement.Placement
-import org.hickorytiller.quarantine.CrashReport
 
 /** Functions that read the state of this process when a status is sent. */
 internal class LocalState(
     val canServe: () -> Boolean,
     val leaseLogEnd: () -> LogOffset?,
     val medianWallMs: () -> Long,
-    val crashReports: () -> List<CrashReport>,
     val readProgress: () -> StoreReadProgress?,
 )
 
@@ -43,7 +41,6 @@
         wallMs = System.currentTimeMillis(),
         load = placement.localLoad(),
         parts = placement.recentPartLocations(),
-        crashReports = localState.crashReports(),
         usage = counters.recentCounts(localState.medianWallMs()),
         readProgress = localState.readProgress(),
         peers = peers.alive().take(MAX_PEERS).map { it.meshAddress },
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/DispatchRequest.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/DispatchRequest.kt
@@ -6,7 +6,7 @@
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.http.RequestHead
 import org.hickorytiller.http.ResponseHead
-import org.hickorytiller.quarantine.RequestFingerprint
+import org.hickorytiller.quarantine.Fingerprint
 
 /**
  * A request to run.
@@ -22,7 +22,7 @@
     val isStreamed: Boolean,
     val requestClass: RequestClass,
     val deadline: TimeMs,
-    val fingerprint: RequestFingerprint,
+    val fingerprint: Fingerprint,
 ) {
     /** Times after which an attempt counts as stalled. */
     var timeouts: ProgressTimeouts = ProgressTimeouts.of(requestClass)
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
@@ -53,7 +53,7 @@
 
     private val exchangeContext = ExchangeContext(client, clock, reuseRule)
     private val crashProbe =
-        CrashProbe(suspects, clock) { server ->
+        CrashProbe(clock, suspects::crashed) { server ->
             client.connect(server.address).fold({ it != HttpFault.UNREACHABLE }, {
                 it.close()
                 true
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/RequestHashes.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/RequestHashes.kt
@@ -2,15 +2,15 @@
 package org.hickorytiller.dispatch
 
 import org.hickorytiller.core.CustomerId
-import org.hickorytiller.quarantine.RequestFingerprint
+import org.hickorytiller.quarantine.Fingerprint
 import java.security.MessageDigest
 
 /**
  * Returns the fingerprint of a request. [routeOrModel] is the route or model that the request is for. The
  * `Idempotency-Key` is not part of it, since a caller may send the same body again under a new key.
  */
-fun sha256Fingerprint(customer: CustomerId, routeOrModel: String, body: ByteArray): RequestFingerprint =
-    RequestFingerprint(sha256(customer.value, routeOrModel, body = body))
+fun sha256Fingerprint(customer: CustomerId, routeOrModel: String, body: ByteArray): Fingerprint =
+    Fingerprint(sha256(customer.value, routeOrModel, body = body))
 
 /** Returns the digest used to check that a retried request equals the first one with its `Idempotency-Key`. */
 fun requestDigest(method: String, target: String, body: ByteArray): RequestDigest =
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/HostStatus.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/HostStatus.kt
@@ -8,7 +8,6 @@
 import org.hickorytiller.core.ProcessId
 import org.hickorytiller.placement.PromptPartLocation
 import org.hickorytiller.placement.ServerLoad
-import org.hickorytiller.quarantine.CrashReport
 import java.net.InetSocketAddress
 
 /** Number of a usage window; window n begins n window lengths after the start of 1970. */
@@ -50,7 +49,6 @@
  * @property wallMs the sender's wall clock in milliseconds since 1970
  * @property load the sender's requests in flight
  * @property parts servers to which the sender has recently sent parts of prompts
- * @property crashReports crashes that the sender has recently seen, with the requests in flight at that time
  * @property usage requests that the sender has counted in the latest windows
  * @property readProgress null if the sender does not read for others, or has not read recently
  * @property peers mesh addresses of other hosts that the sender has received messages from
@@ -66,7 +64,6 @@
     val wallMs: Long,
     val load: Map<BackendServerId, ServerLoad>,
     val parts: List<PromptPartLocation>,
-    val crashReports: List<CrashReport>,
     val usage: Map<WindowNumber, UsageCounts>,
     val readProgress: StoreReadProgress?,
     val peers: List<InetSocketAddress>,
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
@@ -13,7 +13,7 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.coroutines.delay
-import org.hickorytiller.quarantine.PartEvidence
+import org.hickorytiller.quarantine.CrashEvidence
 import java.net.InetSocketAddress
 
 /** Builds the local host's status when it is sent. */
@@ -22,20 +22,20 @@
 /** Called for each status received; the flag is true if it is the first of its process run. */
 typealias OnStatus = (HostStatus, Boolean) -> Unit
 
-/** Builds the local host's evidence on prompt parts when it is sent. */
-typealias BuildPartEvidence = () -> PartEvidence
+/** Builds the local host's evidence on crashes when it is sent. */
+typealias BuildCrashEvidence = () -> CrashEvidence
 
-/** Called for evidence of a peer on prompt parts. */
-typealias OnPartEvidence = (PartEvidence) -> Unit
+/** Called for the evidence of a peer on crashes. */
+typealias OnCrashEvidence = (CrashEvidence) -> Unit
 
 /** Called for records that a peer has read from the platform's store. */
 typealias OnTopicRecords = (TopicRecords) -> Unit
 
 /** Functions that build the messages of the local host. */
-class MeshSources(val status: BuildStatus, val partEvidence: BuildPartEvidence)
+class MeshSources(val status: BuildStatus, val crashEvidence: BuildCrashEvidence)
 
 /** Functions that are called for the messages of peers. */
-class MeshListeners(val onStatus: OnStatus, val onPartEvidence: OnPartEvidence, val onTopicRecords: OnTopicRecords)
+class MeshListeners(val onStatus: OnStatus, val onCrashEvidence: OnCrashEvidence, val onTopicRecords: OnTopicRecords)
 
 /** The exchange of messages between hosts. Confined to the event loop of [group], which must have one thread. */
 class Mesh(
@@ -75,8 +75,8 @@
     fun announce() {
         val bytes = encodeStatus(sources.status())
         if (!logIfTooLong(bytes)) sendToAll(bytes)
-        val evidence = sources.partEvidence()
-        if (!evidence.isEmpty) sendToAll(encodePartEvidence(evidence))
+        val evidence = sources.crashEvidence()
+        if (!evidence.isEmpty) sendToAll(encodeCrashEvidence(evidence))
     }
 
     /** Sends [records] to all peers now. */
@@ -107,8 +107,8 @@
             val message = parseMessage(bytes) ?: return
             val status = decodeStatus(message)
             if (status != null) return receive(status)
-            val evidence = decodePartEvidence(message)
-            if (evidence != null) return listeners.onPartEvidence(evidence)
+            val evidence = decodeCrashEvidence(message)
+            if (evidence != null) return listeners.onCrashEvidence(evidence)
             decodeTopicRecords(message)?.let(listeners.onTopicRecords)
         }
 
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
@@ -24,9 +24,6 @@
 import org.hickorytiller.placement.PromptPartId
 import org.hickorytiller.placement.PromptPartLocation
 import org.hickorytiller.placement.ServerLoad
-import org.hickorytiller.quarantine.CrashReport
-import org.hickorytiller.quarantine.RequestFingerprint
-import org.hickorytiller.quarantine.ServerIncarnation
 import java.io.IOException
 
 /** Encodes [status] as JSON. */
@@ -42,12 +39,6 @@
     }
     val parts = root.putArray("parts")
     status.parts.forEach { parts.addArray().add(it.part.value).add(it.server.value).add(it.ageMs) }
-    val crashReports = root.putArray("blames")
-    status.crashReports.forEach { report ->
-        crashReports.addArray().add(
-            report.fingerprint.value,
-        ).add(report.server.id.value).add(report.server.startedMs).add(report.ageMs)
-    }
     val usage = root.putObject("usage")
     status.usage.forEach { (window, counts) -> usage.putObject(window.toString()).putCounts(counts) }
     status.readProgress?.let { root.putObject("vouch").putReadProgress(it) }
@@ -105,7 +96,6 @@
     wallMs = root.longOrNull("wall").bind(),
     load = root.path("load").entries { decodeLoad(it) }.mapKeys { BackendServerId(it.key) },
     parts = root.path("parts").map { decodePart(it) },
-    crashReports = root.path("blames").map { decodeCrashReport(it) },
     usage = root.path("usage").entries { decodeCounts(it) }.mapKeys { WindowNumber(it.key.toLongOrNull() ?: -1) },
     readProgress = root.path("vouch").takeIf { it.isObject }?.let { decodeReadProgress(it).bind() },
     peers = root.path("peers").mapNotNull { parseAddress(it.asText()) },
@@ -135,11 +125,6 @@
 
 private fun decodeMessageId(node: JsonNode) = MessageId(ProcessId(node.path(0).asText()), node.path(1).asLong())
 
-private fun decodeCrashReport(node: JsonNode): CrashReport {
-    val server = ServerIncarnation(BackendServerId(node.path(1).asText()), node.path(2).asLong())
-    return CrashReport(RequestFingerprint(node.path(0).asText()), server, node.path(CRASH_REPORT_AGE_INDEX).asLong())
-}
-
 /** Writes [counts] as fields of this node, one for each customer. */
 fun ObjectNode.putCounts(counts: UsageCounts) = counts.forEach { (customer, count) ->
     put(customer.value, count)
@@ -152,6 +137,3 @@
 
 private fun <T> JsonNode.entries(decode: (JsonNode) -> T): Map<String, T> =
     properties().associate { it.key to decode(it.value) }
-
-// Index of the age in an encoded crash report.
-private const val CRASH_REPORT_AGE_INDEX = 3
--- a/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashProbe.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashProbe.kt
@@ -3,26 +3,27 @@
 
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.Clock
+import org.hickorytiller.core.TimeMs
 
 /** Whether a server accepts a new connection. */
 typealias AcceptsConnections = suspend (BackendServer) -> Boolean
 
-/** Probes servers and records detected crashes in [suspects] and [partSuspects]. */
+/** Records that a server has crashed. */
+typealias RecordCrash = (BackendServer, TimeMs) -> Unit
+
+/** Probes servers and records detected crashes. */
 class CrashProbe(
-    val suspects: CrashSuspects,
     private val clock: Clock,
-    val partSuspects: PartSuspects = PartSuspects(),
+    private val recordCrash: RecordCrash,
     private val acceptsConnections: AcceptsConnections,
 ) {
     /**
      * Connects to [server] after a connection to it was lost. If it accepts none, it has crashed, and the requests in
-     * flight on it and the parts of their prompts become suspects. Returns whether it has crashed.
+     * flight on it become suspects. Returns whether it has crashed.
      */
     suspend fun detectCrash(server: BackendServer): Boolean {
         if (acceptsConnections(server)) return false
-        val now = clock()
-        suspects.crashed(server, now)
-        partSuspects.crashed(server, now)
+        recordCrash(server, clock())
         return true
     }
 }
--- a/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashSuspects.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/CrashSuspects.kt
@@ -11,20 +11,11 @@
 import org.hickorytiller.core.TimeMs
 
 /** A quarantined fingerprint as sent between hosts. Has a duration, since clocks of hosts are not comparable. */
-data class Quarantine(val fingerprint: RequestFingerprint, val remainingMs: Long)
-
-/** One run of a server; a restarted server may have the same id. */
-data class ServerIncarnation(val id: BackendServerId, val startedMs: Long)
-
-/** A crash of [server] with the request [fingerprint] in flight on it, [ageMs] before the message was sent. */
-data class CrashReport(val fingerprint: RequestFingerprint, val server: ServerIncarnation, val ageMs: Long)
+data class Quarantine(val fingerprint: Fingerprint, val remainingMs: Long)
 
 /** Sends a new quarantine to the peers. */
 typealias ShareQuarantine = (Quarantine) -> Unit
 
-/** Called for each crash with the requests in flight; the flag is false if the crash makes none of them a suspect. */
-typealias OnCrash = (BackendServer, Set<RequestFingerprint>, Boolean) -> Unit
-
 /**
  * Rules for suspects.
  *
@@ -33,45 +24,36 @@
  * @property domainLossMs time within which two lost servers of one failure domain count as a loss of the domain, which
  *   makes no request a suspect
  * @property maxFingerprints maximum number of suspects and of quarantines; the oldest are removed first
- * @property reportSharingMs time for which a crash report is sent to peers; it spans several messages
- * @property maxSharedReports maximum number of crash reports in a message; the oldest are omitted
  */
 data class SuspectRules(
     val crashes: Int = 2,
     val quarantineMs: Long = 600_000,
     val domainLossMs: Long = 2_000,
     val maxFingerprints: Int = 10_000,
-    val reportSharingMs: Long = 3_000,
-    val maxSharedReports: Int = 64,
 )
 
 /** Suspects and quarantined fingerprints of one router. [share] is called with each new quarantine. */
-class CrashSuspects(
-    private val rules: SuspectRules = SuspectRules(),
-    private val onCrash: OnCrash = { _, _, _ -> },
-    private val share: ShareQuarantine = {},
-) {
-    private val inFlight = HashMap<BackendServerId, MutableMap<RequestFingerprint, Int>>()
+class CrashSuspects(private val rules: SuspectRules = SuspectRules(), private val share: ShareQuarantine = {}) {
+    private val inFlight = HashMap<BackendServerId, MutableMap<Fingerprint, Int>>()
     private val losses = ArrayDeque<Loss>()
-    private val crashesByRequest = LinkedHashMap<RequestFingerprint, MutableMap<ServerIncarnation, TimeMs>>()
-    private val quarantinedUntil = LinkedHashMap<RequestFingerprint, TimeMs>()
+    private val crashesByRequest = LinkedHashMap<Fingerprint, MutableMap<ServerIncarnation, TimeMs>>()
+    private val quarantinedUntil = LinkedHashMap<Fingerprint, TimeMs>()
     private val evictedUntil = HashMap<FailureDomain, TimeMs>()
-    private val recentReports = ArrayDeque<Pair<TimeMs, CrashReport>>()
 
     /** Records that [request] starts on [server]. */
-    fun started(server: BackendServerId, request: RequestFingerprint) {
+    fun started(server: BackendServerId, request: Fingerprint) {
         inFlight.getOrPut(server) { HashMap() }.merge(request, 1, Int::plus)
     }
 
     /** Records that [request] no longer runs on [server]. */
-    fun ended(server: BackendServerId, request: RequestFingerprint) {
+    fun ended(server: BackendServerId, request: Fingerprint) {
         val running = inFlight[server] ?: return
         running.computeIfPresent(request) { _, count -> if (count > 1) count - 1 else null }
         if (running.isEmpty()) inFlight -= server
     }
 
     /** Records that [request] has its complete response, so that it is no longer a suspect. */
-    fun completed(request: RequestFingerprint) {
+    fun completed(request: Fingerprint) {
         crashesByRequest -= request
     }
 
@@ -82,8 +64,6 @@
         val loss = Loss(server.incarnation, server.failureDomain, requests, now)
         val sameDomain = losses.filter { it.domain == loss.domain && now - it.at < rules.domainLossMs }
         losses.addLast(loss)
-        val isCounted = !isDuringEviction(loss, now) && sameDomain.isEmpty()
-        onCrash(server, requests, isCounted)
         if (isDuringEviction(loss, now)) return
         if (sameDomain.isEmpty()) recordCrash(loss, now) else sameDomain.forEach(::withdrawCrash)
     }
@@ -94,13 +74,13 @@
     }
 
     /** Whether [request] was in flight during a crash and has not completed since. */
-    fun isSuspect(request: RequestFingerprint): Boolean = request in crashesByRequest
+    fun isSuspect(request: Fingerprint): Boolean = request in crashesByRequest
 
     /**
      * Whether [request] may be sent to [server]. A suspect may only run on a server that it has not crashed, that runs
      * no other suspect, and whose failure domain has no recent loss: a second crash there would count as domain loss.
      */
-    fun mayRunOn(server: BackendServer, request: RequestFingerprint, now: TimeMs): Boolean {
+    fun mayRunOn(server: BackendServer, request: Fingerprint, now: TimeMs): Boolean {
         val crashedServers = crashesByRequest[request] ?: return true
         if (server.incarnation in crashedServers) return false
         if (losses.any { it.domain == server.failureDomain && now - it.at < rules.domainLossMs }) return false
@@ -108,7 +88,7 @@
     }
 
     /** Returns the remaining quarantine of [request] in milliseconds; null if it is not quarantined. */
-    fun quarantineMs(request: RequestFingerprint, now: TimeMs): Long? =
+    fun quarantineMs(request: Fingerprint, now: TimeMs): Long? =
         quarantinedUntil[request]?.let { it - now }?.takeIf { it > 0 }
 
     /**
@@ -121,22 +101,6 @@
         quarantinedUntil.trimToLimit()
     }
 
-    /** Applies a crash detected by a peer. A caller may send the same request to another host after each crash. */
-    fun applyPeerCrashReport(report: CrashReport, now: TimeMs) {
-        recordCrash(report.fingerprint, report.server, now - report.ageMs)
-        crashesByRequest.trimToLimit()
-    }
-
-    /** Returns the crashes that this router recently detected, to be sent to peers. */
-    fun recentCrashReports(now: TimeMs): List<CrashReport> {
-        while (recentReports.isNotEmpty() &&
-            now - recentReports.first().first > rules.reportSharingMs
-        ) {
-            recentReports.removeFirst()
-        }
-        return recentReports.map { (at, report) -> report.copy(ageMs = now - at) }
-    }
-
     /** Returns all quarantines in effect, to be sent to peers. */
     fun quarantines(now: TimeMs): List<Quarantine> =
         quarantinedUntil.map { (request, until) -> Quarantine(request, until - now) }.filter { it.remainingMs > 0 }
@@ -146,20 +110,17 @@
     private fun recordCrash(loss: Loss, now: TimeMs) {
         loss.requests.forEach { request ->
             recordCrash(request, loss.server, now)
-            recentReports.addLast(now to CrashReport(request, loss.server, ageMs = 0))
         }
-        while (recentReports.size > rules.maxSharedReports) recentReports.removeFirst()
         crashesByRequest.trimToLimit()
     }
 
-    private fun recordCrash(request: RequestFingerprint, server: ServerIncarnation, at: TimeMs) {
+    private fun recordCrash(request: Fingerprint, server: ServerIncarnation, at: TimeMs) {
         val servers = crashesByRequest.getOrPut(request) { HashMap() }
         servers[server] = at
         if (servers.size >= rules.crashes) quarantine(request, at)
     }
 
     private fun withdrawCrash(loss: Loss) {
-        recentReports.removeIf { (at, report) -> at == loss.at && report.server == loss.server }
         loss.requests.forEach { request ->
             val servers = crashesByRequest[request] ?: return@forEach
             if (servers[loss.server] == loss.at) servers -= loss.server
@@ -168,7 +129,7 @@
         }
     }
 
-    private fun quarantine(request: RequestFingerprint, now: TimeMs) {
+    private fun quarantine(request: Fingerprint, now: TimeMs) {
         quarantinedUntil[request] = now + rules.quarantineMs
         quarantinedUntil.trimToLimit()
         share(Quarantine(request, rules.quarantineMs))
@@ -182,7 +143,7 @@
         evictedUntil.values.removeIf { it <= now }
     }
 
-    private fun <V> LinkedHashMap<RequestFingerprint, V>.trimToLimit() {
+    private fun <V> LinkedHashMap<Fingerprint, V>.trimToLimit() {
         while (size > rules.maxFingerprints) remove(keys.first())
     }
 
@@ -191,7 +152,7 @@
     private class Loss(
         val server: ServerIncarnation,
         val domain: FailureDomain,
-        val requests: Set<RequestFingerprint>,
+        val requests: Set<Fingerprint>,
         val at: TimeMs,
     )
 }
--- a/quarantine/src/main/kotlin/org/hickorytiller/quarantine/RequestFingerprint.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/Fingerprint.kt
@@ -1,16 +1,19 @@
-/** Identifies the work of a request, so that a request that crashes servers is recognised when it is sent again. */
+/** Identifies what may crash servers, so that it is recognised in later requests. */
 package org.hickorytiller.quarantine
 
 import org.hickorytiller.core.CustomerId
 import java.util.zip.CRC32
 
-/** Fingerprint that is equal for two requests that would do the same work for the same customer. */
+/**
+ * Fingerprint of a request or of a part of its prompt. It is equal for two requests that would do the same work for the
+ * same customer, and for two parts with equal text.
+ */
 @JvmInline
-value class RequestFingerprint(val value: String) {
+value class Fingerprint(val value: String) {
     override fun toString() = value.take(SHOWN_DIGITS)
 
     private companion object {
-        const val SHOWN_DIGITS = 12
+        const val SHOWN_DIGITS = 24
     }
 }
 
@@ -19,11 +22,14 @@
  * targets and bodies have the same lengths share it with a probability of 1 in 2^32; both are then rejected if one of
  * them crashes servers.
  */
-fun crc32Fingerprint(customer: CustomerId?, target: String, body: ByteArray): RequestFingerprint {
+fun crc32Fingerprint(customer: CustomerId?, target: String, body: ByteArray): Fingerprint {
     val checksum = CRC32()
     checksum.update(target.toByteArray())
     checksum.update(body)
-    return RequestFingerprint("${checksum.value.toString(HEXADECIMAL)}-${target.length}-${body.size}-${customer ?: ""}")
+    return Fingerprint("${checksum.value.toString(HEXADECIMAL)}-${target.length}-${body.size}-${customer ?: ""}")
 }
 
+/** Returns the fingerprint of the prompt part that callers identify by [id]. */
+fun promptPartFingerprint(id: String) = Fingerprint("part:$id")
+
 private const val HEXADECIMAL = 16
--- /dev/null
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/SuspectTable.kt
@@ -0,0 +1,217 @@
+/**
+ * Finds what crashes servers when they begin to answer it: a request that callers send again, or a part of prompts
+ * whose requests differ in everything else. Crashes are counted for the fingerprint of each.
+ *
+ * A crash makes the fingerprints of all requests suspect that the server had not begun to answer. An answer that began
+ * later, on any server, clears all fingerprints of its request. A part that crashes servers is never answered, while
+ * the parts that its requests share with other requests are, so only the former reaches the limit.
+ *
+ * Does no I/O and reads no clock: events and their times are passed in.
+ */
+package org.hickorytiller.quarantine
+
+import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.TimeMs
+
+/**
+ * Rules for suspects.
+ *
+ * @property crashes number of crashes without an answer in between after which a fingerprint is quarantined
+ * @property coincidences number of crashes of a suspect that may be unrelated to it if another one explains the others
+ * @property sameCauseMs time within which crashes in one failure domain count as one, since the domain may have failed
+ * @property answerMs time for which an answer must continue to clear its request; a server may send the first bytes
+ *   of an answer before it crashes
+ * @property quarantineMs duration of a quarantine
+ * @property rememberMs time for which crashes are kept, so that the first crash after a quarantine renews it
+ * @property maxFingerprints maximum number of suspects and of answered fingerprints; those that were not seen for
+ *   longest are removed first
+ * @property maxQuarantines maximum number of quarantines; the oldest are removed first
+ * @property sharingMs time for which a crash or an answer is sent to peers; it spans several messages
+ * @property maxShared maximum number of entries of each kind in a message; the oldest are omitted
+ */
+data class SuspectTableRules(
+    val crashes: Int = 3,
+    val coincidences: Int = 1,
+    val sameCauseMs: Long = 2_000,
+    val answerMs: Long = 300,
+    val quarantineMs: Long = 600_000,
+    val rememberMs: Long = 3_600_000,
+    val maxFingerprints: Int = 10_000,
+    val maxQuarantines: Int = 1_000,
+    val sharingMs: Long = 3_000,
+    val maxShared: Int = 64,
+)
+
+/** Called when a fingerprint is quarantined or released; the flag is true if it is quarantined. */
+typealias OnQuarantineChange = (Fingerprint, Boolean) -> Unit
+
+/** Called for each crash with the fingerprints that it makes suspect. */
+typealias OnCrash = (BackendServer, Set<Fingerprint>) -> Unit
+
+/** A request in flight on [server]. */
+class ObservedRun internal constructor(val server: BackendServerId, val fingerprints: List<Fingerprint>) {
+    internal var answeredAt: TimeMs? = null
+    internal var isCleared = false
+}
+
+/** Suspect and quarantined fingerprints as known to one host. */
+class SuspectTable(
+    private val rules: SuspectTableRules = SuspectTableRules(),
+    private val onCrash: OnCrash = { _, _ -> },
+    private val onQuarantine: OnQuarantineChange = { _, _ -> },
+) {
+    private val inFlight = HashMap<BackendServerId, MutableSet<ObservedRun>>()
+    private val suspects = boundedMap<MutableMap<ServerIncarnation, Crash>>(rules.maxFingerprints)
+    private val answeredAt = boundedMap<TimeMs>(rules.maxFingerprints)
+    private val quarantinedAt = boundedMap<TimeMs>(rules.maxQuarantines)
+    private val recentCrashes = ArrayDeque<Pair<TimeMs, FingerprintCrash>>()
+
+    /** Fingerprints whose answer contradicted a crash or a quarantine, and when that was noticed, for the peers. */
+    private val contradictedAt = boundedMap<TimeMs>(rules.maxFingerprints)
+
+    private class Crash(val domain: FailureDomain, val at: TimeMs)
+
+    /** Records that a request with [fingerprints] is sent to [server]. */
+    fun started(server: BackendServerId, fingerprints: List<Fingerprint>): ObservedRun {
+        val run = ObservedRun(server, fingerprints)
+        if (fingerprints.isNotEmpty()) inFlight.getOrPut(server) { HashSet() } += run
+        return run
+    }
+
+    /** Records that a part of the answer to [run] has arrived. */
+    fun answerContinued(run: ObservedRun, now: TimeMs) {
+        val beganAt = run.answeredAt ?: now.also { run.answeredAt = it }
+        if (!run.isCleared && now - beganAt >= rules.answerMs) clear(run, beganAt, now)
+    }
+
+    /** Records that [run] has its complete answer. */
+    fun answered(run: ObservedRun, now: TimeMs) {
+        if (!run.isCleared) clear(run, run.answeredAt ?: now, now)
+    }
+
+    /** Records that [run] is no longer in flight. */
+    fun ended(run: ObservedRun) {
+        val runs = inFlight[run.server] ?: return
+        runs -= run
+        if (runs.isEmpty()) inFlight -= run.server
+    }
+
+    /** Records that [server] crashed. Further calls for the same crash have no effect. */
+    fun crashed(server: BackendServer, now: TimeMs) {
+        val suspected = inFlight.remove(server.id)?.flatMapTo(LinkedHashSet()) { it.fingerprints } ?: return
+        onCrash(server, suspected)
+        val incarnation = ServerIncarnation(server.id, server.startedMs)
+        suspected.forEach { suspect ->
+            recordCrash(suspect, incarnation, Crash(server.failureDomain, now), now)
+            recentCrashes.addLast(now to FingerprintCrash(suspect, incarnation, server.failureDomain, ageMs = 0))
+        }
+    }
+
+    /** Whether a request with [fingerprints] must not be sent to a server. */
+    fun isQuarantined(fingerprints: List<Fingerprint>, now: TimeMs): Boolean {
+        val quarantined = fingerprints.filter { own -> quarantinedAt[own]?.let { isInEffect(it, now) } ?: false }
+        if (quarantined.isEmpty()) return false
+        val others = quarantinedAt.filter { (other, at) -> other !in fingerprints && isInEffect(at, now) }.keys
+        return quarantined.any { own -> others.none { explains(it, own) } }
+    }
+
+    // A part that all crashing requests share with sound ones is quarantined with the cause if no sound one came in
+    // between. Requests without the cause are sent, and their answers release it.
+    private fun explains(cause: Fingerprint, companion: Fingerprint): Boolean {
+        val causeCrashes = suspects[cause] ?: return false
+        val crashes = suspects[companion] ?: return false
+        return causes(crashes.filterKeys { it !in causeCrashes }.values) <= rules.coincidences
+    }
+
+    /** Returns the evidence of this host, to be sent to peers. */
+    fun evidence(now: TimeMs): CrashEvidence {
+        while (recentCrashes.isNotEmpty() && now - recentCrashes.first().first > rules.sharingMs) {
+            recentCrashes.removeFirst()
+        }
+        return CrashEvidence(
+            crashes = recentCrashes.takeLast(rules.maxShared).map { (at, crash) -> crash.copy(ageMs = now - at) },
+            answers = recentContradictions(now),
+            quarantines = quarantinedAt.entries.filter { isInEffect(it.value, now) }.takeLast(rules.maxShared)
+                .map { FingerprintQuarantine(it.key, now - it.value) },
+        )
+    }
+
+    /** Applies the [evidence] of a peer. */
+    fun applyPeerEvidence(evidence: CrashEvidence, now: TimeMs) {
+        evidence.answers.forEach { recordAnswer(it.fingerprint, now - it.ageMs, now) }
+        evidence.crashes.forEach { recordCrash(it.fingerprint, it.server, Crash(it.domain, now - it.ageMs), now) }
+        evidence.quarantines.forEach {
+            val lastCrashAt = now - it.ageMs
+            if (!isContradicted(it.fingerprint, lastCrashAt, now)) quarantine(it.fingerprint, lastCrashAt)
+        }
+    }
+
+    private fun recentContradictions(now: TimeMs): List<FingerprintAnswer> =
+        contradictedAt.entries.filter { now - it.value <= rules.sharingMs }.map { it.key }.takeLast(rules.maxShared)
+            .mapNotNull { fingerprint -> answeredAt[fingerprint]?.let { FingerprintAnswer(fingerprint, now - it) } }
+
+    private fun clear(run: ObservedRun, beganAt: TimeMs, now: TimeMs) {
+        run.isCleared = true
+        ended(run)
+        run.fingerprints.forEach { recordAnswer(it, beganAt, now) }
+    }
+
+    private fun recordAnswer(fingerprint: Fingerprint, at: TimeMs, now: TimeMs) {
+        answeredAt.merge(fingerprint, at, ::maxOf)
+        val crashes = suspects[fingerprint]
+        if (crashes?.values?.removeIf { it.at <= at } == true) contradictedAt[fingerprint] = now
+        if (crashes?.isEmpty() == true) suspects -= fingerprint
+        val lastCrashAt = quarantinedAt[fingerprint] ?: return
+        if (lastCrashAt > at) return
+        quarantinedAt -= fingerprint
+        contradictedAt[fingerprint] = now
+        onQuarantine(fingerprint, false)
+    }
+
+    /** Whether a request with [fingerprint] was answered after a crash at [crashAt]. */
+    private fun isContradicted(fingerprint: Fingerprint, crashAt: TimeMs, now: TimeMs): Boolean {
+        val isAnswered = answeredAt[fingerprint]?.let { it >= crashAt } ?: false
+        if (isAnswered) contradictedAt[fingerprint] = now
+        return isAnswered
+    }
+
+    private fun recordCrash(fingerprint: Fingerprint, server: ServerIncarnation, crash: Crash, now: TimeMs) {
+        if (isContradicted(fingerprint, crash.at, now)) return
+        val crashes = suspects.getOrPut(fingerprint) { HashMap() }
+        // Several hosts may report the same crash.
+        if (crashes.putIfAbsent(server, crash) != null) return
+        crashes.values.removeIf { crash.at - it.at > rules.rememberMs }
+        if (causes(crashes.values) >= rules.crashes) quarantine(fingerprint, crash.at)
+    }
+
+    /** Returns the number of crashes; those in one domain within a short time count as one. */
+    private fun causes(crashes: Collection<Crash>): Int {
+        val lastCauseAt = HashMap<FailureDomain, TimeMs>()
+        return crashes.sortedBy { it.at }.count { crash ->
+            val isSameCause = lastCauseAt[crash.domain]?.let { crash.at - it < rules.sameCauseMs } ?: false
+            if (!isSameCause) lastCauseAt[crash.domain] = crash.at
+            !isSameCause
+        }
+    }
+
+    private fun quarantine(fingerprint: Fingerprint, lastCrashAt: TimeMs) {
+        val known = quarantinedAt[fingerprint]
+        if (known != null && known >= lastCrashAt) return
+        quarantinedAt[fingerprint] = lastCrashAt
+        if (known == null || lastCrashAt - known >= rules.quarantineMs) onQuarantine(fingerprint, true)
+    }
+
+    private fun isInEffect(lastCrashAt: TimeMs, now: TimeMs) = now - lastCrashAt < rules.quarantineMs
+
+    /** A map that removes the entry that was not used for longest when it exceeds [limit]. */
+    private fun <V> boundedMap(limit: Int) = object : LinkedHashMap<Fingerprint, V>(INITIAL_SIZE, LOAD_FACTOR, true) {
+        override fun removeEldestEntry(eldest: Map.Entry<Fingerprint, V>) = size > limit
+    }
+
+    private companion object {
+        const val INITIAL_SIZE = 16
+        const val LOAD_FACTOR = 0.75f
+    }
+}
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -17,7 +17,8 @@
 import org.hickorytiller.placement.Placement
 import org.hickorytiller.placement.PlacementRequest
 import org.hickorytiller.quarantine.CrashProbe
-import org.hickorytiller.quarantine.PartRun
+import org.hickorytiller.quarantine.ObservedRun
+import org.hickorytiller.quarantine.SuspectTable
 import org.hickorytiller.routes.ResponseMode
 import java.io.ByteArrayOutputStream
 
@@ -54,7 +55,12 @@
 class RelayCallbacks(val onRun: OnRun, val onAttemptFailed: OnAttemptFailed, val onAbandoned: OnAbandoned)
 
 /** How the relay reaches backend servers; [runMoves] is null if runs are not moved. */
-class ServerAccess(val sendAttempt: SendAttempt, val crashProbe: CrashProbe, val runMoves: RunMoves? = null)
+class ServerAccess(
+    val sendAttempt: SendAttempt,
+    val crashProbe: CrashProbe,
+    val suspects: SuspectTable,
+    val runMoves: RunMoves? = null,
+)
 
 /** Relays the requests of one host. Confined to the event loop. */
 class Relay(
@@ -66,8 +72,7 @@
     private val callbacks: RelayCallbacks,
     private val rules: RelayRules = RelayRules(),
 ) {
-    private val suspects get() = servers.crashProbe.suspects
-    private val partSuspects get() = servers.crashProbe.partSuspects
+    private val suspects get() = servers.suspects
 
     /** Runs [request] until its response is relayed or it cannot be retried. */
     suspend fun run(request: RelayRequest, sink: ResponseSink): RelayOutcome =
@@ -106,7 +111,7 @@
         /** Makes the next attempt if it is allowed. Returns null if another attempt may follow. */
         private suspend fun attemptNext(): RelayOutcome? {
             if (request.deadline - clock() < rules.minRemainingMs) return finish(OutcomeReason.DEADLINE)
-            if (isQuarantined(request)) return finish(OutcomeReason.QUARANTINED)
+            if (suspects.isQuarantined(request.fingerprints, clock())) return finish(OutcomeReason.QUARANTINED)
             val moved = movedRun.also { movedRun = null }
             val server =
                 moved?.target ?: placement.choose(placementRequestOf(request, triedServers))
@@ -177,8 +182,7 @@
         private suspend fun attemptOn(server: BackendServer, moved: MovedRun?): AttemptResult {
             lastServer = server.id
             val prefillTokens = placement.started(server.id, placementRequestOf(request, triedServers))
-            suspects.started(server.id, request.fingerprint)
-            val partRun = partSuspects.started(server.id, request.partFingerprints)
+            val run = suspects.started(server.id, request.fingerprints)
             var isPrefilling = true
             try {
                 val timeoutMs = request.deadline - clock()
@@ -195,15 +199,14 @@
                 placement.prefillEnded(server.id, prefillTokens)
                 isPrefilling = false
                 try {
-                    return probeIfLost(server, relayResponse(server, response, partRun))
+                    return probeIfLost(server, relayResponse(server, response, run))
                 } finally {
                     response.release()
                 }
             } finally {
                 if (isPrefilling) placement.prefillEnded(server.id, prefillTokens)
                 placement.ended(server.id)
-                suspects.ended(server.id, request.fingerprint)
-                partSuspects.ended(partRun)
+                suspects.ended(run)
             }
         }
 
@@ -237,16 +240,16 @@
         private suspend fun relayResponse(
             server: BackendServer,
             response: StartedResponse,
-            partRun: PartRun,
+            run: ObservedRun,
         ): AttemptResult {
             val isStream = request.route.responseMode == ResponseMode.STREAM && response.head.status in SUCCESS
-            return if (isStream) relayStream(server, response, partRun) else relayComplete(server, response, partRun)
+            return if (isStream) relayStream(server, response, run) else relayComplete(server, response, run)
         }
 
         private suspend fun relayComplete(
             server: BackendServer,
             response: StartedResponse,
-            partRun: PartRun,
+            run: ObservedRun,
         ): AttemptResult {
             markRunning()
             val body = ByteArrayOutputStream()
@@ -265,8 +268,8 @@
                 errorResponse = response.head to body.toByteArray()
                 return AttemptResult(failure = null)
             }
-            succeeded(server, request)
-            if (response.head.status in SUCCESS) partSuspects.answered(partRun, clock())
+            placement.succeeded(server.id)
+            if (response.head.status in SUCCESS) suspects.answered(run, clock())
             errorResponse = null
             hasResponseStarted = true
             return AttemptResult(null, isCallerGone = !sink.sendResponse(response.head, body.toByteArray()))
@@ -280,7 +283,7 @@
         private suspend fun relayStream(
             server: BackendServer,
             response: StartedResponse,
-            partRun: PartRun,
+            run: ObservedRun,
         ): AttemptResult {
             eventBuffer.discardPartial()
             val gapMs = if (canRetry()) rules.eventGapTimeoutMs else null
@@ -288,12 +291,12 @@
             while (true) {
                 val events = reader.next().getOrElse { return failDuringResponse(server, it) } ?: break
                 markRunning()
-                partSuspects.answerContinued(partRun, clock())
+                suspects.answerContinued(run, clock())
                 if (!relayEvents(response.head, events)) return AttemptResult(null, isCallerGone = true)
             }
             if (eventBuffer.hasPartialEvent) return failDuringResponse(server, ExchangeFailure.LOST)
-            succeeded(server, request)
-            partSuspects.answered(partRun, clock())
+            placement.succeeded(server.id)
+            suspects.answered(run, clock())
             if (!hasResponseStarted && !sink.startStream(response.head)) return AttemptResult(null, isCallerGone = true)
             hasResponseStarted = true
             return AttemptResult(null, isCallerGone = !sink.endStream())
@@ -311,14 +314,6 @@
     private fun placementRequestOf(request: RelayRequest, exclude: Set<BackendServerId>) =
         PlacementRequest(request.pool, request.prompt, hostDomain, exclude, request.route.eventGapTargetMs)
 
-    private fun succeeded(server: BackendServer, request: RelayRequest) {
-        placement.succeeded(server.id)
-        suspects.completed(request.fingerprint)
-    }
-
-    private fun isQuarantined(request: RelayRequest) = suspects.quarantineMs(request.fingerprint, clock()) != null ||
-        partSuspects.isQuarantined(request.partFingerprints, clock())
-
     private fun reasonOf(failure: ExchangeFailure?): OutcomeReason = when (failure) {
         null -> OutcomeReason.NO_SERVER
         ExchangeFailure.UNREACHABLE -> OutcomeReason.UNREACHABLE
--- a/relay/src/main/kotlin/org/hickorytiller/relay/RelayRequest.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/RelayRequest.kt
@@ -6,8 +6,8 @@
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.http.RequestHead
 import org.hickorytiller.placement.Prompt
-import org.hickorytiller.quarantine.PartFingerprint
-import org.hickorytiller.quarantine.RequestFingerprint
+import org.hickorytiller.quarantine.Fingerprint
+import org.hickorytiller.quarantine.promptPartFingerprint
 import org.hickorytiller.routes.Route
 
 /** Id that the caller gives each attempt; the response echoes it so that the two can be matched. */
@@ -29,7 +29,7 @@
  * @property customer null on a public route or if the configuration needs no keys
  * @property priority a lower number is more urgent
  * @property resumeAfter last event that the caller received of an earlier stream; null to start at the beginning
- * @property fingerprint identifies the work of the request, to recognise it if it crashes servers
+ * @property fingerprint identifies the work of the request
  */
 data class RelayRequest(
     val id: RequestId,
@@ -42,9 +42,9 @@
     val resumeAfter: EventId?,
     val receivedAt: TimeMs,
     val deadline: TimeMs,
-    val fingerprint: RequestFingerprint,
+    val fingerprint: Fingerprint,
 ) {
-    /** The parts of the prompt that may crash servers whatever else a request holds. */
-    val partFingerprints: List<PartFingerprint> =
-        prompt?.sharedParts.orEmpty().map { PartFingerprint(it.id.toString()) }
+    /** Identify the request if it crashes servers: itself, and the parts of its prompt that others share. */
+    val fingerprints: List<Fingerprint> =
+        listOf(fingerprint) + prompt?.sharedParts.orEmpty().map { promptPartFingerprint(it.id.toString()) }
 }
--- a/router/src/main/kotlin/org/hickorytiller/router/QuarantineSync.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/QuarantineSync.kt
@@ -5,14 +5,14 @@
 import org.hickorytiller.peering.LinkHandler
 import org.hickorytiller.peering.QuarantineNotice
 import org.hickorytiller.quarantine.CrashSuspects
+import org.hickorytiller.quarantine.Fingerprint
 import org.hickorytiller.quarantine.Quarantine
-import org.hickorytiller.quarantine.RequestFingerprint
 
 /** Sends this router's quarantines and applies those of its peers. Confined to the event loop. */
 internal class QuarantineSync(private val suspects: CrashSuspects, private val clock: Clock) {
     /** Creates the handler of one link. Each quarantine is sent once, and not to the peer that it was received from. */
     fun open(): LinkHandler {
-        val knownByPeer = HashSet<RequestFingerprint>()
+        val knownByPeer = HashSet<Fingerprint>()
         return LinkHandler(
             fill = { builder ->
                 val active = suspects.quarantines(clock())
@@ -23,7 +23,7 @@
             },
             consume = { message ->
                 message.quarantines.forEach {
-                    val fingerprint = RequestFingerprint(it.fingerprint)
+                    val fingerprint = Fingerprint(it.fingerprint)
                     knownByPeer += fingerprint
                     suspects.applyPeerQuarantine(Quarantine(fingerprint, it.remainingMs), clock())
                 }
