--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -42,7 +42,6 @@
 import org.hickorytiller.platform.StoreClient
 import org.hickorytiller.platform.encodeDirectory
 import org.hickorytiller.quarantine.CrashProbe
-import org.hickorytiller.quarantine.Fingerprint
 import org.hickorytiller.quarantine.SuspectTable
 import org.hickorytiller.relay.Departures
 import org.hickorytiller.relay.HostRetryBudget
@@ -97,7 +96,7 @@
     private val serverConnections = HttpClient(loop.group, SERVER_LIMITS)
     private val serverClient = BackendServerClient(serverConnections)
     private val departures = Departures()
-    private val suspects = SuspectTable(onCrash = ::onCrash, onQuarantine = ::onQuarantineChange)
+    private val suspects = SuspectTable(onCrash = ::logCrash, onQuarantine = ::logQuarantineChange)
     private val relay: Relay =
         Relay(
             clock,
@@ -183,6 +182,9 @@
         tasks.start("settings") { reload.run() }
         dutyTask?.let { tasks.start("duties") { it.run() } }
         metrics.gauge("hickory_in_flight", "Requests in flight") { inFlight.count.toDouble() }
+        metrics.gauge("hickory_quarantined", "Requests and prompt parts refused after crashes of servers") {
+            suspects.quarantineCount(clock()).toDouble()
+        }
         metrics.gauge("hickory_peers", "Hosts that are alive beside this one") { peers.alive().size.toDouble() }
         log.info { "event=started host=${settings.host} run=$process domain=${settings.failureDomain}" }
     }
@@ -255,16 +257,6 @@
         servers.onPeerRecords(message.from, message.records.map { KeyedRecord(it.key, it.value) })
     }
 
-    private fun onCrash(server: BackendServer, suspected: Set<Fingerprint>) = log.warn {
-        "event=server_crashed server=${server.id} domain=${server.failureDomain} suspects=${suspected.joinToString(
-            ",",
-        )}"
-    }
-
-    private fun onQuarantineChange(fingerprint: Fingerprint, isQuarantined: Boolean) = log.warn {
-        "event=${if (isQuarantined) "quarantined" else "quarantine_lifted"} fingerprint=$fingerprint"
-    }
-
     private fun acceptsCallers() = !stopTask.isStopping && configuration.table != null
 
     /** Whether callers are served here. A host that is cut off from the store rejects keyed requests. */
--- a/quarantine/src/main/kotlin/org/hickorytiller/quarantine/SuspectTable.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/SuspectTable.kt
@@ -125,6 +125,9 @@
         return causes(crashes.filterKeys { it !in causeCrashes }.values) <= rules.coincidences
     }
 
+    /** Returns the number of quarantines in effect. */
+    fun quarantineCount(now: TimeMs): Int = quarantinedAt.values.count { isInEffect(it, now) }
+
     /** Returns the evidence of this host, to be sent to peers. */
     fun evidence(now: TimeMs): CrashEvidence {
         while (recentCrashes.isNotEmpty() && now - recentCrashes.first().first > rules.sharingMs) {
