Keep requests of all hosts together within the rate that a server states

Servers in need were sent far more than the rate that they state in their answers (20 requests in 4 s at 1.2 a second). Cause: the field was not read at all; nothing limited requests by rate. Class of fault: a statement of a server that only single answers carry is not kept as state that all hosts share. Ruled out by the code: there was no limit that retries or moved runs could pass by; they are counted now as well, since every send goes through Placement. Change: RateLimits holds what each server states. A few hosts (one more than the rate) share it equally, chosen by rendezvous hashing over the hosts alive, each with a bucket of one request that is empty at first; other hosts use other servers. Hosts tell each other what servers state; the newest statement holds, a restarted server has none, and a server that takes nothing is tried every ten seconds. Ways weighed: an equal share for every host (a bucket each lets 95 requests pass at once); a limit at each host by itself (eight times the rate); one host for each limited server (its callers would wait for others' share). The case of DaemonTest failed on (153 requests in 4 s, 5 allowed) and passes; RateLimitsTest plays 1 to 360 hosts with lost messages and restarts against the stated bound.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -29,6 +29,7 @@
 import org.hickorytiller.metering.WindowUsageCounters
 import org.hickorytiller.placement.Placement
 import org.hickorytiller.placement.PlacementRules
+import org.hickorytiller.placement.RateLimits
 import org.hickorytiller.platform.BackendServerClient
 import org.hickorytiller.platform.DIRECTORY_PATH
 import org.hickorytiller.platform.DutyClient
@@ -78,7 +79,10 @@
             // the announcement makes the read look older.
             if (progressSharing.isReader()) mesh.announce()
         }
-    private val placement = Placement(clock, PlacementRules(duplicatePrefillWindowMs = bounds.partReuseMs))
+    private val rateLimits =
+        RateLimits(clock, settings.host, onChange = ::logRateLimit, readHosts = ::servingHosts)
+    private val placement =
+        Placement(clock, PlacementRules(duplicatePrefillWindowMs = bounds.partReuseMs), rateLimits)
     private val servers: ServerView =
         ServerView(
             store,
@@ -94,7 +98,7 @@
     private val metrics = DaemonMetrics()
     private val inFlight = InFlight()
     private val serverConnections = HttpClient(loop.group, SERVER_LIMITS)
-    private val serverClient = BackendServerClient(serverConnections)
+    private val serverClient = BackendServerClient(serverConnections, rateLimits::stated)
     private val departures = Departures()
     private val suspects = SuspectTable(onCrash = ::logCrash, onQuarantine = ::logQuarantineChange)
     private val relay: Relay =
@@ -145,8 +149,10 @@
             loop.group,
             settings.listen.mesh,
             peers,
-            MeshSources(status::build) { suspects.evidence(clock()) },
-            MeshListeners(::onStatus, { suspects.applyPeerEvidence(it, clock()) }, ::onPeerRecords),
+            MeshSources(status::build, { suspects.evidence(clock()) }, rateLimits::recentNotices),
+            MeshListeners(::onStatus, {
+                suspects.applyPeerEvidence(it, clock())
+            }, ::onPeerRecords, rateLimits::applyPeerNotices),
         )
     private val stopTask: StopTask =
         StopTask(
@@ -185,6 +191,7 @@
         metrics.gauge("hickory_quarantined", "Requests and prompt parts refused after crashes of servers") {
             suspects.quarantineCount(clock()).toDouble()
         }
+        metrics.gauge("hickory_limited_servers", "Servers that state a rate limit") { rateLimits.count.toDouble() }
         metrics.gauge("hickory_peers", "Hosts that are alive beside this one") { peers.alive().size.toDouble() }
         log.info { "event=started host=${settings.host} run=$process domain=${settings.failureDomain}" }
     }
@@ -262,6 +269,8 @@
     /** Whether callers are served here. A host that is cut off from the store rejects keyed requests. */
     private fun canServe() = acceptsCallers() && proof.isFresh()
 
+    private fun servingHosts() = peers.alive().filter { it.canServe }.map { it.host } + settings.host
+
     private fun directoryResponse(): ByteArray {
         val peers = peers.alive()
         val remote = peers.filter { it.canServe }.map { it.callerAddress }
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/SuspectLog.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerTroubleLog.kt
@@ -1,8 +1,9 @@
-/** Writes a line for each crash of a server and for each change of what is refused because of crashes. */
+/** Writes a line for each crash of a server, and for each change of what is refused or limited because of servers. */
 package org.hickorytiller.daemon
 
 import io.github.oshai.kotlinlogging.KotlinLogging
 import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.quarantine.Fingerprint
 
 private val log = KotlinLogging.logger {}
@@ -11,6 +12,10 @@
     "event=server_crashed server=${server.id} domain=${server.failureDomain} suspects=${suspected.joinToString(",")}"
 }
 
+internal fun logRateLimit(server: BackendServerId, ratePerS: Double?) = log.info {
+    "event=rate_limit server=$server ratePerS=$ratePerS"
+}
+
 internal fun logQuarantineChange(fingerprint: Fingerprint, isQuarantined: Boolean) = log.warn {
     "event=${if (isQuarantined) "quarantined" else "quarantine_lifted"} fingerprint=$fingerprint"
 }
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonTest.kt
@@ -2,6 +2,7 @@
 
 import io.kotest.core.spec.style.AnnotationSpec
 import io.kotest.inspectors.forAll
+import io.kotest.matchers.ints.shouldBeLessThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import org.hickorytiller.core.formatAddress
@@ -63,6 +64,27 @@
         world.runsOf("r2") shouldBe 0
     }
 
+    // Guards against a server that is sent far more than the rate that it states in its answers.
+    @Test
+    fun `a server that states a rate limit is sent no more than that until it states none`() {
+        val limited = world.servers[0]
+        world.onLoop { limited.rateLimitPerS = 1.0 }
+        (1..10).forEach { world.post("/read/x", "before-$it", "key-1").status shouldBe 200 }
+        val beforeCount = world.onLoop { limited.runs.size }
+        val endNs = System.nanoTime() + 4_000_000_000
+        var number = 0
+        while (System.nanoTime() < endNs) {
+            world.post("/read/x", "limited-${number++}", "key-1").status shouldBe 200
+            Thread.sleep(20)
+        }
+        world.onLoop { limited.runs.size } - beforeCount shouldBeLessThanOrEqual 5
+        world.onLoop { limited.rateLimitPerS = null }
+        world.await {
+            world.post("/read/x", "after-${number++}", "key-1")
+            world.onLoop { limited.runs.size } > beforeCount + 30
+        }
+    }
+
     @Test
     fun `an idempotent request is retried on the other server`() {
         listOf(ServerFault.LOSE_ANSWER, ServerFault.SHED, ServerFault.TRUNCATED_ANSWER).forAll { fault ->
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.coroutines.delay
+import org.hickorytiller.placement.RateLimitNotice
 import org.hickorytiller.quarantine.CrashEvidence
 import java.net.InetSocketAddress
 
@@ -28,14 +29,25 @@
 /** Called for the evidence of a peer on crashes. */
 typealias OnCrashEvidence = (CrashEvidence) -> Unit
 
+/** Builds what servers stated to the local host about their rate limits. */
+typealias BuildRateLimits = () -> List<RateLimitNotice>
+
+/** Called for what servers stated to a peer. */
+typealias OnRateLimits = (List<RateLimitNotice>) -> Unit
+
 /** Called for records that a peer has read from the platform's store. */
 typealias OnTopicRecords = (TopicRecords) -> Unit
 
 /** Functions that build the messages of the local host. */
-class MeshSources(val status: BuildStatus, val crashEvidence: BuildCrashEvidence)
+class MeshSources(val status: BuildStatus, val crashEvidence: BuildCrashEvidence, val rateLimits: BuildRateLimits)
 
 /** Functions that are called for the messages of peers. */
-class MeshListeners(val onStatus: OnStatus, val onCrashEvidence: OnCrashEvidence, val onTopicRecords: OnTopicRecords)
+class MeshListeners(
+    val onStatus: OnStatus,
+    val onCrashEvidence: OnCrashEvidence,
+    val onTopicRecords: OnTopicRecords,
+    val onRateLimits: OnRateLimits,
+)
 
 /** The exchange of messages between hosts. Confined to the event loop of [group], which must have one thread. */
 class Mesh(
@@ -77,6 +89,8 @@
         if (!logIfTooLong(bytes)) sendToAll(bytes)
         val evidence = sources.crashEvidence()
         if (!evidence.isEmpty) sendToAll(encodeCrashEvidence(evidence))
+        val rateLimits = sources.rateLimits()
+        if (rateLimits.isNotEmpty()) sendToAll(encodeRateLimits(rateLimits))
     }
 
     /** Sends [records] to all peers now. */
@@ -109,6 +123,8 @@
             if (status != null) return receive(status)
             val evidence = decodeCrashEvidence(message)
             if (evidence != null) return listeners.onCrashEvidence(evidence)
+            val rateLimits = decodeRateLimits(message)
+            if (rateLimits != null) return listeners.onRateLimits(rateLimits)
             decodeTopicRecords(message)?.let(listeners.onTopicRecords)
         }
 
--- a/placement/src/main/kotlin/org/hickorytiller/placement/Placement.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/Placement.kt
@@ -37,7 +37,11 @@
 typealias ReadPeerLoad = () -> Map<BackendServerId, ServerLoad>
 
 /** The backend servers as known to one host. Confined to the event loop. */
-class Placement(private val clock: Clock, private val rules: PlacementRules = PlacementRules()) {
+class Placement(
+    private val clock: Clock,
+    private val rules: PlacementRules = PlacementRules(),
+    private val rateLimits: RateLimits? = null,
+) {
     private val servers = HashMap<BackendServerId, Candidate>()
     private val partLocations = PartLocations(clock, rules)
     private val isolations = HashMap<PoolId, PrefillIsolation>()
@@ -47,11 +51,15 @@
     /** Replaces the known servers. Keeps the state of a server that is still known, unless it was restarted. */
     fun replace(current: Collection<BackendServer>) {
         val byId = current.associateBy { it.id }
+        (servers.keys - byId.keys).forEach { rateLimits?.remove(it) }
         servers.keys.retainAll(byId.keys)
         byId.forEach { (id, server) ->
             val known = servers[id]
             if (known == null || known.server.startedMs != server.startedMs) {
-                if (known != null) partLocations.removeServer(id)
+                if (known != null) {
+                    partLocations.removeServer(id)
+                    rateLimits?.remove(id)
+                }
                 servers[id] = Candidate(server)
             } else {
                 known.server = server
@@ -108,6 +116,7 @@
     fun started(id: BackendServerId, request: PlacementRequest): Int {
         val candidate = servers[id] ?: return 0
         candidate.requests++
+        rateLimits?.sent(id)
         val prompt = request.prompt ?: return 0
         val missingTokens = maxOf(0, prompt.inputTokens - candidate.cachedTokens(prompt))
         isolation(request.pool).record(
@@ -153,7 +162,8 @@
 
         fun accepts(request: PlacementRequest) = server.pool == request.pool &&
             server.state == BackendServerState.RUNNING &&
-            server.id !in request.exclude
+            server.id !in request.exclude &&
+            rateLimits?.allows(server.id) != false
 
         val running get() = requests + (peerLoad[server.id]?.requests ?: 0)
 
@@ -214,8 +224,11 @@
 }
 
 /** Returns the weight of [server] for [part], equal on every host. The server with the largest weight is the home. */
-internal fun rendezvousWeight(part: PromptPartId, server: BackendServerId): Long {
-    var hash = part.value xor (server.value.hashCode().toLong() * GOLDEN_RATIO)
+internal fun rendezvousWeight(part: PromptPartId, server: BackendServerId): Long = rendezvousWeight(part.value, server)
+
+/** Returns the weight of the pair of [key] and [server], equal on every host. */
+internal fun rendezvousWeight(key: Long, server: BackendServerId): Long {
+    var hash = key xor (server.value.hashCode().toLong() * GOLDEN_RATIO)
     hash = (hash xor (hash ushr FIRST_SHIFT)) * FIRST_FACTOR
     hash = (hash xor (hash ushr SECOND_SHIFT)) * SECOND_FACTOR
     return hash xor (hash ushr LAST_SHIFT)
--- a/standins/src/main/kotlin/org/hickorytiller/standins/PlatformServerStandIn.kt
+++ b/standins/src/main/kotlin/org/hickorytiller/standins/PlatformServerStandIn.kt
@@ -39,6 +39,9 @@
     /** The faults of the next requests, one for each request. */
     val faults = ArrayDeque<ServerFault>()
 
+    /** The rate limit that the server states in its answers, in requests per second; null if it states none. */
+    var rateLimitPerS: Double? = null
+
     /** All requests that the server started to run, in order. */
     val runs = mutableListOf<ExecutedRequest>()
 
@@ -109,8 +112,12 @@
         return connection.endResponse()
     }
 
-    private fun responseHeaders(requestId: String) =
-        Headers.of("Request-Id" to requestId, "Response-Signature" to "signature-$id", "Keep-Alive" to "timeout=5")
+    private fun responseHeaders(requestId: String): Headers {
+        val headers =
+            Headers.of("Request-Id" to requestId, "Response-Signature" to "signature-$id", "Keep-Alive" to "timeout=5")
+        val limit = rateLimitPerS?.let { Headers.Field("Server-Limit", it.toString()) }
+        return Headers(headers.fields + listOfNotNull(limit))
+    }
 
     private companion object {
         const val TRUNCATED_EVENT = 3
