Order servers in place of those that state rate limits

Cause: the fleet is planned by requests in flight, which rise only once requests are late. Change: a limited server is replaced in its failure domain, up to the limit of the domain and for 12 s after the limit has ended. A limit that was not stated for two minutes is forgotten. FleetPlannerTest names the pattern; it does not compile without the change, since the planner did not know of limits.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -191,7 +191,9 @@
         metrics.gauge("hickory_quarantined", "Requests and prompt parts refused after crashes of servers") {
             suspects.quarantineCount(clock()).toDouble()
         }
-        metrics.gauge("hickory_limited_servers", "Servers that state a rate limit") { rateLimits.count.toDouble() }
+        metrics.gauge("hickory_limited_servers", "Servers that state a rate limit") {
+            rateLimits.limited().size.toDouble()
+        }
         metrics.gauge("hickory_peers", "Hosts that are alive beside this one") { peers.alive().size.toDouble() }
         log.info { "event=started host=${settings.host} run=$process domain=${settings.failureDomain}" }
     }
@@ -211,7 +213,9 @@
     private fun dutyTask(address: InetSocketAddress): DutyTask {
         val client = DutyClient(HttpClient(loop.group, STORE_LIMITS), address, settings.host)
         val fleet =
-            FleetTask(clock, { configuration.table?.configuration?.pools.orEmpty() }, placement, client)
+            FleetTask(clock, {
+                configuration.table?.configuration?.pools.orEmpty()
+            }, placement, rateLimits::limited, client)
         val duties = DutyTask.Duties(WindowReports(counters), client, fleet::placeOrders)
         return DutyTask(settings.host, claim, clock, ::medianWallMs, DutyLeaseStore(store), lease, peers, duties)
     }
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/FleetTask.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/FleetTask.kt
@@ -2,6 +2,7 @@
 package org.hickorytiller.daemon
 
 import io.github.oshai.kotlinlogging.KotlinLogging
+import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.BackendServerState
 import org.hickorytiller.core.Clock
 import org.hickorytiller.core.Delivery
@@ -17,11 +18,15 @@
 import org.hickorytiller.scaling.PoolStatus
 import org.hickorytiller.scaling.ServerGroup
 
+/** Returns the servers that state a rate limit. */
+internal typealias ReadLimitedServers = () -> Set<BackendServerId>
+
 /** Plans and places the orders of all pools that scale. Confined to the event loop. */
 internal class FleetTask(
     private val clock: Clock,
     private val pools: () -> List<PoolSpec>,
     private val placement: Placement,
+    private val limited: ReadLimitedServers,
     private val client: DutyClient,
 ) {
     private val planners = HashMap<PoolId, FleetPlanner>()
@@ -47,7 +52,7 @@
         val planner = planners.getOrPut(pool.id) { FleetPlanner(clock) }
         val servers = placement.servers(pool.id)
         val inFlight = placement.inFlight(pool.id)
-        val wanted = planner.plan(PoolStatus(pool, servers, inFlight))
+        val wanted = planner.plan(PoolStatus(pool, servers, inFlight, limited()))
         for (order in tracker.toSend(wanted) { count(it) }) {
             val delivery = client.placeOrder(order, token)
             log.info {
--- a/placement/src/main/kotlin/org/hickorytiller/placement/RateLimits.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/RateLimits.kt
@@ -31,6 +31,7 @@
  * @property usedShare part of a stated rate that is used; the rest is for hosts that do not know it yet
  * @property minRatePerS rate at which a server is used that states a lower one, so that its next answer can end it
  * @property shareMs time for which the computed share of a host is used
+ * @property forgetMs time after its latest statement for which a limit is kept
  * @property sharingMs time for which a notice is sent to peers; it spans several messages
  * @property maxShared maximum number of notices in a message; the oldest are omitted
  */
@@ -38,6 +39,7 @@
     val usedShare: Double = 0.9,
     val minRatePerS: Double = 0.1,
     val shareMs: Long = 250,
+    val forgetMs: Long = 120_000,
     val sharingMs: Long = 3_000,
     val maxShared: Int = 200,
 )
@@ -62,6 +64,7 @@
     /** Returns what servers recently stated to this host, to be sent to peers. */
     fun recentNotices(): List<RateLimitNotice> {
         val now = clock()
+        limits.values.removeIf { now - it.statedAt > rules.forgetMs }
         return limits.entries.filter { now - it.value.statedAt <= rules.sharingMs }
             .sortedByDescending { it.value.statedAt }
             .take(rules.maxShared)
@@ -76,8 +79,8 @@
         return limit.requests >= 1
     }
 
-    /** The number of servers that state a limit. */
-    val count: Int get() = limits.values.count { it.ratePerS != null }
+    /** Returns the servers that state a limit. */
+    fun limited(): Set<BackendServerId> = limits.filterValues { it.ratePerS != null }.keys
 
     /** Records that this host sends a request to [server]. */
     fun sent(server: BackendServerId) {
--- a/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlan.kt
+++ b/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlan.kt
@@ -2,6 +2,7 @@
 package org.hickorytiller.scaling
 
 import org.hickorytiller.core.BackendServer
+import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.FailureDomain
 import org.hickorytiller.core.PoolId
 import org.hickorytiller.routes.PoolSpec
@@ -17,5 +18,11 @@
  *
  * @property servers the pool's servers as listed by the platform
  * @property inFlight requests in flight in the pool over all hosts
+ * @property limited servers that state a rate limit and so serve little
  */
-data class PoolStatus(val pool: PoolSpec, val servers: List<BackendServer>, val inFlight: Int)
+data class PoolStatus(
+    val pool: PoolSpec,
+    val servers: List<BackendServer>,
+    val inFlight: Int,
+    val limited: Set<BackendServerId> = emptySet(),
+)
--- a/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
+++ b/scaling/src/main/kotlin/org/hickorytiller/scaling/FleetPlanner.kt
@@ -1,7 +1,8 @@
 /**
  * Decides how many servers of which kind a pool needs. Reclaimable servers cost a fraction of the full price, but the
  * platform may reclaim all those of a failure domain at once. They are spread evenly over the domains, with enough
- * servers to lose any one domain. Full-price servers are only used while there are too few reclaimable ones.
+ * servers to lose any one domain. Full-price servers are only used while there are too few reclaimable ones. Servers
+ * that state a rate limit are replaced in addition.
  *
  * Does no I/O; the state is the recent demand and the outcomes of earlier orders.
  */
@@ -35,6 +36,8 @@
     private val demand = ArrayDeque<Pair<TimeMs, Int>>()
     private val supplies = HashMap<FailureDomain, DomainSupply>()
 
+    private val limitedCounts = ArrayDeque<Pair<TimeMs, Map<FailureDomain, Int>>>()
+
     /** Number of full-price servers in the latest plan by failure domain. */
     private var fullPriceCounts: Map<FailureDomain, Int> = emptyMap()
 
@@ -74,20 +77,28 @@
         val domains = scaling.domainPrices.keys.sortedBy { it.value }
         if (domains.isEmpty()) return emptyList()
         val needed = serversNeeded(status.inFlight)
-        if (scaling.reclaimablePrice == null) return fullPriceOnly(status, scaling, domains, needed)
+        val replacements = replacements(status)
         val perDomain = perDomain(needed, domains.size, scaling)
+        val wanted = domains.associateWith { minOf(perDomain + (replacements[it] ?: 0), scaling.max) }
+        if (scaling.reclaimablePrice == null) return fullPriceOnly(status, wanted)
         val expected = domains.associateWith { expectedCount(status, it, perDomain) }
         val missing = (needed - expected.values.sum()).coerceAtLeast(0)
         val cheapestFirst = domains.sortedBy { scaling.domainPrices[it] }
         fullPriceCounts =
-            spread(missing, cheapestFirst.associateWith { scaling.max - reserved(status, it, perDomain, scaling) })
+            spread(
+                missing,
+                cheapestFirst.associateWith {
+                    scaling.max -
+                        reserved(status, it, wanted.getValue(it), scaling)
+                },
+            )
         return domains.flatMap { domain ->
             // The full-price order goes first, since both kinds of server in a domain share one limit.
             listOf(
                 FleetOrder(ServerGroup(status.pool.id, domain, isReclaimable = false), fullPriceCounts[domain] ?: 0),
                 FleetOrder(
                     ServerGroup(status.pool.id, domain, isReclaimable = true),
-                    reclaimableCount(domain, perDomain, scaling),
+                    reclaimableCount(domain, wanted.getValue(domain), scaling),
                 ),
             ).filterNot { it.group.isReclaimable && supply(domain).backoffUntil > clock() }
         }
@@ -105,6 +116,19 @@
         return ceilDivide(peak, rules.requestsPerServer).coerceAtLeast(1)
     }
 
+    /** Returns the servers to order in place of limited ones, by failure domain. */
+    private fun replacements(status: PoolStatus): Map<FailureDomain, Int> {
+        val now = clock()
+        val limited = status.servers.filter { it.id in status.limited && it.state == BackendServerState.RUNNING }
+        limitedCounts.addLast(now to limited.groupingBy { it.failureDomain }.eachCount())
+        while (now - limitedCounts.first().first > rules.holdMs) limitedCounts.removeFirst()
+        val peaks = HashMap<FailureDomain, Int>()
+        limitedCounts.forEach { (_, counts) ->
+            counts.forEach { (domain, count) -> peaks.merge(domain, count, ::maxOf) }
+        }
+        return peaks
+    }
+
     private fun perDomain(needed: Int, domains: Int, scaling: ScalingSpec): Int {
         val survivors = (domains - 1).coerceAtLeast(1)
         return ceilDivide(needed, survivors).coerceIn(minCount(scaling), scaling.max)
@@ -135,15 +159,8 @@
         it.reclaimable && it.failureDomain == domain && it.state == BackendServerState.RUNNING
     }
 
-    private fun fullPriceOnly(
-        status: PoolStatus,
-        scaling: ScalingSpec,
-        domains: List<FailureDomain>,
-        needed: Int,
-    ): List<FleetOrder> {
-        val perDomain = perDomain(needed, domains.size, scaling)
-        return domains.map { FleetOrder(ServerGroup(status.pool.id, it, isReclaimable = false), perDomain) }
-    }
+    private fun fullPriceOnly(status: PoolStatus, wanted: Map<FailureDomain, Int>) =
+        wanted.map { (domain, count) -> FleetOrder(ServerGroup(status.pool.id, domain, isReclaimable = false), count) }
 
     /** Spreads [count] servers round-robin over the domains in the order of [room], within the room of each. */
     private fun spread(count: Int, room: Map<FailureDomain, Int>): Map<FailureDomain, Int> {
--- a/scaling/src/test/kotlin/org/hickorytiller/scaling/FleetPlannerTest.kt
+++ b/scaling/src/test/kotlin/org/hickorytiller/scaling/FleetPlannerTest.kt
@@ -53,6 +53,23 @@
         }
     }
 
+    // Guards against servers without a limit that take the work of all limited ones, until requests in flight pile up.
+    @Test
+    fun `servers that state a rate limit are replaced, and for a while after it has ended`() {
+        val planner = FleetPlanner(clock)
+        val servers = servers(3, true)
+        val limited = servers.filter { it.failureDomain == domains[0] }.map { it.id }.toSet()
+        fun ordered(limited: Set<BackendServerId>) = planner.plan(PoolStatus(pool, servers, inFlight = 40, limited))
+            .filter { it.group.isReclaimable }.associate { it.group.domain to it.count }
+        ordered(emptySet()) shouldBe domains.associateWith { 3 }
+        ordered(limited) shouldBe domains.associateWith { if (it == domains[0]) 6 else 3 }
+        nowMs += 11_000
+        ordered(emptySet()) shouldBe domains.associateWith { if (it == domains[0]) 6 else 3 }
+        nowMs += 2_000
+        ordered(emptySet()) shouldBe domains.associateWith { 3 }
+        ordered(servers.map { it.id }.toSet()).values.max() shouldBeLessThanOrEqual 7
+    }
+
     @Test
     fun `the remaining servers cover the demand after the loss of one failure domain`() {
         listOf(0, 40, 80, 150, 200).forAll { inFlight ->
