Send quarantines and rate limits between hosts only as often as needed

Each host sent all quarantines to all others with every status for ten minutes, and repeated what peers had told it of rate limits: 60 limited servers would cost 95 hosts about 250 KB/s each. Now quarantines are repeated every 1.5 s, for hosts that have started or were cut off, and a host sends only what servers stated to itself. SuspectTable is split: CrashCounts holds the crashes, LeastRecentlyUsedMap bounds the tables. Checked with the virtual fleets of SuspectTableTest (8 and 23 hosts, a tenth of the messages lost) and RateLimitsTest (1 to 360 hosts); the 250 KB/s are computed from 40 bytes an entry, not measured.

--- a/placement/src/main/kotlin/org/hickorytiller/placement/RateLimits.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/RateLimits.kt
@@ -55,17 +55,17 @@
     private val limits = HashMap<BackendServerId, Limit>()
 
     /** Records that [server] stated [ratePerS] in an answer, or null if it stated none. */
-    fun stated(server: BackendServerId, ratePerS: Double?) = apply(server, ratePerS, clock())
+    fun stated(server: BackendServerId, ratePerS: Double?) = apply(server, ratePerS, clock(), isOwn = true)
 
     /** Applies what servers stated to a peer. */
     fun applyPeerNotices(notices: List<RateLimitNotice>) =
-        notices.forEach { apply(it.server, it.ratePerS, clock() - it.ageMs) }
+        notices.forEach { apply(it.server, it.ratePerS, clock() - it.ageMs, isOwn = false) }
 
     /** Returns what servers recently stated to this host, to be sent to peers. */
     fun recentNotices(): List<RateLimitNotice> {
         val now = clock()
         limits.values.removeIf { now - it.statedAt > rules.forgetMs }
-        return limits.entries.filter { now - it.value.statedAt <= rules.sharingMs }
+        return limits.entries.filter { it.value.isOwn && now - it.value.statedAt <= rules.sharingMs }
             .sortedByDescending { it.value.statedAt }
             .take(rules.maxShared)
             .map { (server, limit) -> RateLimitNotice(server, limit.ratePerS, now - limit.statedAt) }
@@ -92,13 +92,13 @@
         limits -= server
     }
 
-    private fun apply(server: BackendServerId, ratePerS: Double?, at: TimeMs) {
+    private fun apply(server: BackendServerId, ratePerS: Double?, at: TimeMs, isOwn: Boolean) {
         val known = limits[server]
         if (known != null && at < known.statedAt) return
         if ((known?.ratePerS == null) != (ratePerS == null)) onChange(server, ratePerS)
         when {
-            known != null -> known.state(ratePerS, at)
-            ratePerS != null -> limits[server] = Limit(ratePerS, at)
+            known != null -> known.state(ratePerS, at, isOwn)
+            ratePerS != null -> limits[server] = Limit(ratePerS, at, isOwn)
         }
     }
 
@@ -112,17 +112,21 @@
     }
 
     /** A limit with a bucket for one request, which is empty at first: what was sent before also counts. */
-    private inner class Limit(ratePerS: Double, statedAt: TimeMs) {
+    private inner class Limit(ratePerS: Double, statedAt: TimeMs, isOwn: Boolean) {
         var ratePerS: Double? = ratePerS
             private set
         var statedAt = statedAt
             private set
+
+        /** Whether the latest statement was made to this host and not to a peer. */
+        var isOwn = isOwn
+            private set
         var requests = 0.0
         private var refilledAt = clock()
         private var sharePerS = 0.0
         private var sharedAt: TimeMs? = null
 
-        fun state(newRatePerS: Double?, at: TimeMs) {
+        fun state(newRatePerS: Double?, at: TimeMs, isOwnStatement: Boolean) {
             // What was sent while there was no limit counts as well.
             if (ratePerS == null) {
                 requests = 0.0
@@ -130,6 +134,7 @@
             }
             ratePerS = newRatePerS
             statedAt = at
+            isOwn = isOwnStatement
         }
 
         fun refill(server: BackendServerId, ratePerS: Double) {
--- a/placement/src/test/kotlin/org/hickorytiller/placement/RateLimitsTest.kt
+++ b/placement/src/test/kotlin/org/hickorytiller/placement/RateLimitsTest.kt
@@ -56,7 +56,7 @@
                 alive.filterIndexed { i, _ -> (nowMs + i * 30) % 500 == 0L }.forEach(::exchange)
                 // Before a host knows the limit it may send anything.
                 alive.shuffled(random).map(hosts::getValue).filter { nowMs > 3_000 && it.allows(server) }.forEach {
-                    if (it.recentNotices().isNotEmpty() || nowMs % 100 == 0L) {
+                    if (it.limited().isNotEmpty() || nowMs % 100 == 0L) {
                         sendsMs += nowMs
                         it.sent(server)
                         it.stated(server, ratePerS)
--- a/quarantine/src/main/kotlin/org/hickorytiller/quarantine/SuspectTable.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/SuspectTable.kt
@@ -12,7 +12,6 @@
 
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
-import org.hickorytiller.core.FailureDomain
 import org.hickorytiller.core.TimeMs
 
 /**
@@ -29,6 +28,7 @@
  *   longest are removed first
  * @property maxQuarantines maximum number of quarantines; the oldest are removed first
  * @property sharingMs time for which a crash or an answer is sent to peers; it spans several messages
+ * @property repeatMs time after which all quarantines are sent again, for hosts that have started or were cut off
  * @property maxShared maximum number of entries of each kind in a message; the oldest are omitted
  */
 data class SuspectTableRules(
@@ -41,6 +41,7 @@
     val maxFingerprints: Int = 10_000,
     val maxQuarantines: Int = 1_000,
     val sharingMs: Long = 3_000,
+    val repeatMs: Long = 1_500,
     val maxShared: Int = 64,
 )
 
@@ -63,15 +64,14 @@
     private val onQuarantine: OnQuarantineChange = { _, _ -> },
 ) {
     private val inFlight = HashMap<BackendServerId, MutableSet<ObservedRun>>()
-    private val suspects = boundedMap<MutableMap<ServerIncarnation, Crash>>(rules.maxFingerprints)
-    private val answeredAt = boundedMap<TimeMs>(rules.maxFingerprints)
-    private val quarantinedAt = boundedMap<TimeMs>(rules.maxQuarantines)
+    private val crashCounts = CrashCounts(rules)
+    private val answeredAt = leastRecentlyUsedMap<Fingerprint, TimeMs>(rules.maxFingerprints)
+    private val quarantinedAt = leastRecentlyUsedMap<Fingerprint, TimeMs>(rules.maxQuarantines)
     private val recentCrashes = ArrayDeque<Pair<TimeMs, FingerprintCrash>>()
+    private var quarantinesSentAt: TimeMs? = null
 
     /** Fingerprints whose answer contradicted a crash or a quarantine, and when that was noticed, for the peers. */
-    private val contradictedAt = boundedMap<TimeMs>(rules.maxFingerprints)
-
-    private class Crash(val domain: FailureDomain, val at: TimeMs)
+    private val contradictedAt = leastRecentlyUsedMap<Fingerprint, TimeMs>(rules.maxFingerprints)
 
     /** Records that a request with [fingerprints] is sent to [server]. */
     fun started(server: BackendServerId, fingerprints: List<Fingerprint>): ObservedRun {
@@ -114,15 +114,7 @@
         val quarantined = fingerprints.filter { own -> quarantinedAt[own]?.let { isInEffect(it, now) } ?: false }
         if (quarantined.isEmpty()) return false
         val others = quarantinedAt.filter { (other, at) -> other !in fingerprints && isInEffect(at, now) }.keys
-        return quarantined.any { own -> others.none { explains(it, own) } }
-    }
-
-    // A part that all crashing requests share with sound ones is quarantined with the cause if no sound one came in
-    // between. Requests without the cause are sent, and their answers release it.
-    private fun explains(cause: Fingerprint, companion: Fingerprint): Boolean {
-        val causeCrashes = suspects[cause] ?: return false
-        val crashes = suspects[companion] ?: return false
-        return causes(crashes.filterKeys { it !in causeCrashes }.values) <= rules.coincidences
+        return quarantined.any { own -> others.none { crashCounts.explains(it, own) } }
     }
 
     /** Returns the number of quarantines in effect. */
@@ -136,11 +128,20 @@
         return CrashEvidence(
             crashes = recentCrashes.takeLast(rules.maxShared).map { (at, crash) -> crash.copy(ageMs = now - at) },
             answers = recentContradictions(now),
-            quarantines = quarantinedAt.entries.filter { isInEffect(it.value, now) }.takeLast(rules.maxShared)
-                .map { FingerprintQuarantine(it.key, now - it.value) },
+            quarantines = if (isRepeatDue(now)) quarantines(now) else emptyList(),
         )
     }
 
+    private fun isRepeatDue(now: TimeMs): Boolean {
+        val isDue = quarantinesSentAt?.let { now - it >= rules.repeatMs } ?: true
+        if (isDue) quarantinesSentAt = now
+        return isDue
+    }
+
+    private fun quarantines(now: TimeMs): List<FingerprintQuarantine> =
+        quarantinedAt.entries.filter { isInEffect(it.value, now) }.takeLast(rules.maxShared)
+            .map { FingerprintQuarantine(it.key, now - it.value) }
+
     /** Applies the [evidence] of a peer. */
     fun applyPeerEvidence(evidence: CrashEvidence, now: TimeMs) {
         evidence.answers.forEach { recordAnswer(it.fingerprint, now - it.ageMs, now) }
@@ -163,9 +164,7 @@
 
     private fun recordAnswer(fingerprint: Fingerprint, at: TimeMs, now: TimeMs) {
         answeredAt.merge(fingerprint, at, ::maxOf)
-        val crashes = suspects[fingerprint]
-        if (crashes?.values?.removeIf { it.at <= at } == true) contradictedAt[fingerprint] = now
-        if (crashes?.isEmpty() == true) suspects -= fingerprint
+        if (crashCounts.clear(fingerprint, at)) contradictedAt[fingerprint] = now
         val lastCrashAt = quarantinedAt[fingerprint] ?: return
         if (lastCrashAt > at) return
         quarantinedAt -= fingerprint
@@ -182,21 +181,7 @@
 
     private fun recordCrash(fingerprint: Fingerprint, server: ServerIncarnation, crash: Crash, now: TimeMs) {
         if (isContradicted(fingerprint, crash.at, now)) return
-        val crashes = suspects.getOrPut(fingerprint) { HashMap() }
-        // Several hosts may report the same crash.
-        if (crashes.putIfAbsent(server, crash) != null) return
-        crashes.values.removeIf { crash.at - it.at > rules.rememberMs }
-        if (causes(crashes.values) >= rules.crashes) quarantine(fingerprint, crash.at)
-    }
-
-    /** Returns the number of crashes; those in one domain within a short time count as one. */
-    private fun causes(crashes: Collection<Crash>): Int {
-        val lastCauseAt = HashMap<FailureDomain, TimeMs>()
-        return crashes.sortedBy { it.at }.count { crash ->
-            val isSameCause = lastCauseAt[crash.domain]?.let { crash.at - it < rules.sameCauseMs } ?: false
-            if (!isSameCause) lastCauseAt[crash.domain] = crash.at
-            !isSameCause
-        }
+        if (crashCounts.add(fingerprint, server, crash) >= rules.crashes) quarantine(fingerprint, crash.at)
     }
 
     private fun quarantine(fingerprint: Fingerprint, lastCrashAt: TimeMs) {
@@ -207,14 +192,4 @@
     }
 
     private fun isInEffect(lastCrashAt: TimeMs, now: TimeMs) = now - lastCrashAt < rules.quarantineMs
-
-    /** A map that removes the entry that was not used for longest when it exceeds [limit]. */
-    private fun <V> boundedMap(limit: Int) = object : LinkedHashMap<Fingerprint, V>(INITIAL_SIZE, LOAD_FACTOR, true) {
-        override fun removeEldestEntry(eldest: Map.Entry<Fingerprint, V>) = size > limit
-    }
-
-    private companion object {
-        const val INITIAL_SIZE = 16
-        const val LOAD_FACTOR = 0.75f
-    }
 }
