Quarantine messages that crash engines in the chat-completions front end

Different requests that share one message kept crashing engines, each two of them. Change: it counts them in a SuspectTable by message as well (all but the last one), refuses requests with a quarantined message with request_quarantined, and routers send each other such quarantines with those of requests.

--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/DispatchRequest.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/DispatchRequest.kt
@@ -14,6 +14,7 @@
  * @property isIdempotent whether the request may be retried after it may have run
  * @property isStreamed whether the response is a stream of events that can be resumed
  * @property deadline time after which the response is useless to the caller
+ * @property parts fingerprints of the parts of the prompt that other requests may share
  */
 class DispatchRequest(
     val head: RequestHead,
@@ -23,6 +24,7 @@
     val requestClass: RequestClass,
     val deadline: TimeMs,
     val fingerprint: Fingerprint,
+    val parts: List<Fingerprint> = emptyList(),
 ) {
     /** Times after which an attempt counts as stalled. */
     var timeouts: ProgressTimeouts = ProgressTimeouts.of(requestClass)
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Dispatcher.kt
@@ -18,6 +18,7 @@
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.Clock
 import org.hickorytiller.core.ProcessId
+import org.hickorytiller.core.TimeMs
 import org.hickorytiller.core.Verdict
 import org.hickorytiller.http.HttpClient
 import org.hickorytiller.http.HttpFault
@@ -25,6 +26,8 @@
 import org.hickorytiller.http.ServerSentEvent
 import org.hickorytiller.quarantine.CrashProbe
 import org.hickorytiller.quarantine.CrashSuspects
+import org.hickorytiller.quarantine.ObservedRun
+import org.hickorytiller.quarantine.SuspectTable
 
 /** The complete response to a request. [body] is null if it was streamed to the caller. */
 class CompletedResponse(val head: ResponseHead, val body: ByteArray?, val attempts: Int)
@@ -48,12 +51,15 @@
         onWasted: OnWasted = {},
     ) : this(client, clock, processRun, suspects, policy, onWasted, ReuseRule.ONLY_CLEAN)
 
+    /** Parts of prompts that crash servers whatever else a request holds. */
+    val partSuspects = SuspectTable()
+
     /** The attempts in progress. */
     val running = RunningAttempts()
 
     private val exchangeContext = ExchangeContext(client, clock, reuseRule)
     private val crashProbe =
-        CrashProbe(clock, suspects::crashed) { server ->
+        CrashProbe(clock, ::recordCrash) { server ->
             client.connect(server.address).fold({ it != HttpFault.UNREACHABLE }, {
                 it.close()
                 true
@@ -82,6 +88,7 @@
         // The server of the exchange that won in the present attempt: the hedge's server if the hedge was faster.
         private var winningServer: BackendServer? = null
         private var completedResponse: ResponseStart? = null
+        private var partRun: ObservedRun? = null
 
         suspend fun runToCompletion(): Either<DispatchFailure, CompletedResponse> {
             policy.recordFirstAttempt(request.requestClass.id)
@@ -98,11 +105,12 @@
             }
         }
 
-        private fun tryAcquireRetry(kind: FailureKind) = suspects.quarantineMs(request.fingerprint, clock()) == null &&
+        private fun tryAcquireRetry(kind: FailureKind) = refusalMs(request) == null &&
             policy.tryAcquireRetry(kind, verdict, counts, request.isIdempotent, request.requestClass.id)
 
         private fun complete(): Either<DispatchFailure, CompletedResponse> {
             suspects.completed(request.fingerprint)
+            partRun?.let { partSuspects.answered(it, clock()) }
             val responseStart = checkNotNull(completedResponse)
             return CompletedResponse(
                 responseStart.head,
@@ -143,11 +151,13 @@
             var kind: FailureKind? = FailureKind.CALLER_GONE
             firstTokenMs = null
             suspects.started(server.id, request.fingerprint)
+            val run = partSuspects.started(server.id, request.parts).also { partRun = it }
             try {
                 kind = attemptWithReconnect(server)
                 return kind?.let { DispatchFailure(it, "${server.id}: ${it.code}", server = server.id) }
             } finally {
                 suspects.ended(server.id, request.fingerprint)
+                partSuspects.ended(run)
                 val durationMs = clock() - startedAt
                 context.release(server, AttemptReport(firstTokenMs, progress.tokens - tokensBefore, durationMs, kind))
                 kind?.let { onWasted(WastedWork(it, if (it in WASTED_TOKEN_KINDS) progress.tokens else 0, durationMs)) }
@@ -272,6 +282,7 @@
         private suspend fun relayEvent(event: ServerSentEvent): FailureKind? {
             val parsed = parseCompletionEvent(event.data)
             if (parsed.isError) return FailureKind.SERVER_ERROR
+            partRun?.let { partSuspects.answerContinued(it, clock()) }
             if (!progress.accept(parsed)) return null
             val promptTokens = progress.promptTokens - chargedPromptTokens
             chargedPromptTokens = progress.promptTokens
@@ -282,6 +293,15 @@
         private fun isServerError(head: ResponseHead) = head.status >= SERVER_ERRORS || head.status == TOO_MANY_REQUESTS
     }
 
+    /** Returns for how long [request] is refused because it, or a part of its prompt, crashes servers; or null. */
+    fun refusalMs(request: DispatchRequest): Long? =
+        suspects.quarantineMs(request.fingerprint, clock()) ?: partSuspects.refusalMs(request.parts, clock())
+
+    private fun recordCrash(server: BackendServer, now: TimeMs) {
+        suspects.crashed(server, now)
+        partSuspects.crashed(server, now)
+    }
+
     private var nextExchangeNumber = 0L
 
     private companion object {
--- a/quarantine/src/main/kotlin/org/hickorytiller/quarantine/Fingerprint.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/Fingerprint.kt
@@ -30,6 +30,16 @@
 }
 
 /** Returns the fingerprint of the prompt part that callers identify by [id]. */
-fun promptPartFingerprint(id: String) = Fingerprint("part:$id")
+fun promptPartFingerprint(id: String) = Fingerprint(PART_PREFIX + id)
 
+/** Returns the fingerprint of a prompt part without an id by its [text]. */
+fun promptPartFingerprint(text: ByteArray): Fingerprint {
+    val checksum = CRC32().apply { update(text) }
+    return promptPartFingerprint("${checksum.value.toString(HEXADECIMAL)}-${text.size}")
+}
+
+/** Whether this is the fingerprint of a part of prompts and not of a request. */
+val Fingerprint.isPromptPart: Boolean get() = value.startsWith(PART_PREFIX)
+
+private const val PART_PREFIX = "part:"
 private const val HEXADECIMAL = 16
--- a/quarantine/src/main/kotlin/org/hickorytiller/quarantine/SuspectTable.kt
+++ b/quarantine/src/main/kotlin/org/hickorytiller/quarantine/SuspectTable.kt
@@ -65,14 +65,11 @@
 ) {
     private val inFlight = HashMap<BackendServerId, MutableSet<ObservedRun>>()
     private val crashCounts = CrashCounts(rules)
-    private val answeredAt = leastRecentlyUsedMap<Fingerprint, TimeMs>(rules.maxFingerprints)
+    private val answers = AnswerTimes(rules)
     private val quarantinedAt = leastRecentlyUsedMap<Fingerprint, TimeMs>(rules.maxQuarantines)
     private val recentCrashes = ArrayDeque<Pair<TimeMs, FingerprintCrash>>()
     private var quarantinesSentAt: TimeMs? = null
 
-    /** Fingerprints whose answer contradicted a crash or a quarantine, and when that was noticed, for the peers. */
-    private val contradictedAt = leastRecentlyUsedMap<Fingerprint, TimeMs>(rules.maxFingerprints)
-
     /** Records that a request with [fingerprints] is sent to [server]. */
     fun started(server: BackendServerId, fingerprints: List<Fingerprint>): ObservedRun {
         val run = ObservedRun(server, fingerprints)
@@ -117,6 +114,18 @@
         return quarantined.any { own -> others.none { crashCounts.explains(it, own) } }
     }
 
+    /** Returns for how long a request with [fingerprints] is refused; null if it is not. */
+    fun refusalMs(fingerprints: List<Fingerprint>, now: TimeMs): Long? {
+        if (!isQuarantined(fingerprints, now)) return null
+        return fingerprints.mapNotNull { quarantinedAt[it] }.maxOf { it + rules.quarantineMs - now }
+    }
+
+    /** Applies a quarantine that a peer has for another [remainingMs]. */
+    fun applyPeerQuarantine(fingerprint: Fingerprint, remainingMs: Long, now: TimeMs) {
+        val ageMs = (rules.quarantineMs - remainingMs).coerceAtLeast(0)
+        applyPeerEvidence(CrashEvidence(quarantines = listOf(FingerprintQuarantine(fingerprint, ageMs))), now)
+    }
+
     /** Returns the number of quarantines in effect. */
     fun quarantineCount(now: TimeMs): Int = quarantinedAt.values.count { isInEffect(it, now) }
 
@@ -127,7 +136,7 @@
         }
         return CrashEvidence(
             crashes = recentCrashes.takeLast(rules.maxShared).map { (at, crash) -> crash.copy(ageMs = now - at) },
-            answers = recentContradictions(now),
+            answers = answers.recentContradictions(now),
             quarantines = if (isRepeatDue(now)) quarantines(now) else emptyList(),
         )
     }
@@ -138,7 +147,8 @@
         return isDue
     }
 
-    private fun quarantines(now: TimeMs): List<FingerprintQuarantine> =
+    /** Returns the quarantines in effect, the latest ones if there are too many for a message. */
+    fun quarantines(now: TimeMs): List<FingerprintQuarantine> =
         quarantinedAt.entries.filter { isInEffect(it.value, now) }.takeLast(rules.maxShared)
             .map { FingerprintQuarantine(it.key, now - it.value) }
 
@@ -148,14 +158,10 @@
         evidence.crashes.forEach { recordCrash(it.fingerprint, it.server, Crash(it.domain, now - it.ageMs), now) }
         evidence.quarantines.forEach {
             val lastCrashAt = now - it.ageMs
-            if (!isContradicted(it.fingerprint, lastCrashAt, now)) quarantine(it.fingerprint, lastCrashAt)
+            if (!answers.contradict(it.fingerprint, lastCrashAt, now)) quarantine(it.fingerprint, lastCrashAt)
         }
     }
 
-    private fun recentContradictions(now: TimeMs): List<FingerprintAnswer> =
-        contradictedAt.entries.filter { now - it.value <= rules.sharingMs }.map { it.key }.takeLast(rules.maxShared)
-            .mapNotNull { fingerprint -> answeredAt[fingerprint]?.let { FingerprintAnswer(fingerprint, now - it) } }
-
     private fun clear(run: ObservedRun, beganAt: TimeMs, now: TimeMs) {
         run.isCleared = true
         ended(run)
@@ -163,24 +169,17 @@
     }
 
     private fun recordAnswer(fingerprint: Fingerprint, at: TimeMs, now: TimeMs) {
-        answeredAt.merge(fingerprint, at, ::maxOf)
-        if (crashCounts.clear(fingerprint, at)) contradictedAt[fingerprint] = now
+        answers.record(fingerprint, at)
+        if (crashCounts.clear(fingerprint, at)) answers.noteContradiction(fingerprint, now)
         val lastCrashAt = quarantinedAt[fingerprint] ?: return
         if (lastCrashAt > at) return
         quarantinedAt -= fingerprint
-        contradictedAt[fingerprint] = now
+        answers.noteContradiction(fingerprint, now)
         onQuarantine(fingerprint, false)
     }
 
-    /** Whether a request with [fingerprint] was answered after a crash at [crashAt]. */
-    private fun isContradicted(fingerprint: Fingerprint, crashAt: TimeMs, now: TimeMs): Boolean {
-        val isAnswered = answeredAt[fingerprint]?.let { it >= crashAt } ?: false
-        if (isAnswered) contradictedAt[fingerprint] = now
-        return isAnswered
-    }
-
     private fun recordCrash(fingerprint: Fingerprint, server: ServerIncarnation, crash: Crash, now: TimeMs) {
-        if (isContradicted(fingerprint, crash.at, now)) return
+        if (answers.contradict(fingerprint, crash.at, now)) return
         if (crashCounts.add(fingerprint, server, crash) >= rules.crashes) quarantine(fingerprint, crash.at)
     }
 
--- a/router/src/main/kotlin/org/hickorytiller/router/CallerRequest.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerRequest.kt
@@ -58,6 +58,7 @@
             requestClass,
             deadline,
             sha256Fingerprint(customer, chat?.model?.value ?: route.name, body),
+            chat?.sharedParts.orEmpty(),
         )
 
     /** Returns the digest that tells whether a later request with the same `Idempotency-Key` is the same request. */
--- a/router/src/main/kotlin/org/hickorytiller/router/ChatRequest.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/ChatRequest.kt
@@ -10,14 +10,22 @@
 import com.fasterxml.jackson.databind.JsonNode
 import org.hickorytiller.core.ModelId
 import org.hickorytiller.core.json
+import org.hickorytiller.quarantine.Fingerprint
+import org.hickorytiller.quarantine.promptPartFingerprint
 import java.io.IOException
 
 /**
  * The fields of a chat completion request that the router uses.
  *
  * @property estimatedPromptTokens token count charged if the engine reports none
+ * @property sharedParts fingerprints of all messages but the last, which other requests may hold too
  */
-internal data class ChatRequest(val model: ModelId, val isStreamed: Boolean, val estimatedPromptTokens: Int)
+internal data class ChatRequest(
+    val model: ModelId,
+    val isStreamed: Boolean,
+    val estimatedPromptTokens: Int,
+    val sharedParts: List<Fingerprint> = emptyList(),
+)
 
 /**
  * Decodes [body], or returns a description of the fault. A duplicate name is an error, since the engine might use the
@@ -36,7 +44,9 @@
     val error = validators.firstNotNullOfOrNull { validate -> validate(root) }
     if (error != null) return error.left()
     val model = ModelId(root.path("model").textValue())
-    return ChatRequest(model, root.path("stream").asBoolean(), estimateTokens(root.path("messages"))).right()
+    val messages = root.path("messages")
+    val sharedParts = messages.toList().dropLast(1).map { promptPartFingerprint(it.toString().toByteArray()) }
+    return ChatRequest(model, root.path("stream").asBoolean(), estimateTokens(messages), sharedParts).right()
 }
 
 /** Checks one field of the body. Returns a description of the fault; null if the field is valid. */
--- a/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/RequestRunner.kt
@@ -62,7 +62,7 @@
 ) {
     /** Runs [request] and sends its response. Returns whether the connection can be used for another request. */
     suspend fun run(request: CallerRequest, response: CallerResponse): Boolean {
-        components.dispatcher.suspects.quarantineMs(request.dispatchRequest.fingerprint, clock())?.let {
+        components.dispatcher.refusalMs(request.dispatchRequest)?.let {
             return response.sendError(CallerError.quarantined(it))
         }
         val result = if (request.isIdempotent) runIdempotent(request, response) else runNonIdempotent(request, response)
--- a/router/src/main/kotlin/org/hickorytiller/router/Router.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/Router.kt
@@ -80,7 +80,7 @@
             if (work.kind.isServerFailure || work.kind.isCancelledByRouter) metrics.requestRetried(work.kind.code)
         }
     private val demand = DemandSync(admission, slotQuotas, servers)
-    private val quarantines = QuarantineSync(dispatcher.suspects, monotonicClock)
+    private val quarantines = QuarantineSync(dispatcher.suspects, dispatcher.partSuspects, monotonicClock)
     private val usage = UsageAccumulator(settings.host.value, process.value, monotonicClock())
     private val usageTask = UsageTask(usage, monotonicClock, logClient::append)
     private val components =
--- a/router/src/test/kotlin/org/hickorytiller/router/CallerFrontEndTest.kt
+++ b/router/src/test/kotlin/org/hickorytiller/router/CallerFrontEndTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.collections.shouldContain
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.string.shouldContain
 import io.kotest.matchers.string.shouldStartWith
@@ -302,6 +303,25 @@
         fixture.onLoop { fixture.dispatcher.suspects.quarantines(org.hickorytiller.core.monotonicClock()) } shouldHaveSize 1
     }
 
+    // Guards against requests that share one message and crash an engine each, since no two of them are alike.
+    @Test
+    fun `different requests with one message that crashes engines are quarantined before they reach all of them`() {
+        fixture.close()
+        fixture = CallerFixture(engineCount = 8)
+        val shared = """{"role":"system","content":"You answer clerks."}"""
+        fun ask(number: Int, crashes: Boolean): String {
+            val document = if (crashes) """{"role":"user","content":"CRASH-ENGINE"},""" else ""
+            val messages = """[$shared,$document{"role":"user","content":"question $number"}]"""
+            return fixture.exchange(fixture.post("/v1/chat/completions", """{"model":"m","stream":true,"max_tokens":6,"messages":$messages}"""))
+        }
+        val refused = (1..8).count { number ->
+            fixture.tokens(ask(100 + number, crashes = false)) shouldBe List(6) { "t$it" }
+            ask(number, crashes = true).contains("request_quarantined")
+        }
+        refused shouldBeGreaterThanOrEqual 5
+        fixture.tokens(ask(200, crashes = false)) shouldBe List(6) { "t$it" }
+    }
+
     @Test
     fun `a stream ends with an error at its deadline`() {
         fixture.onPlatform { fixture.engines.forEach { it.control = EngineControl(betweenTokensMs = 100) } }
