Use high rate limits of servers fully and bound the number of sharing hosts

At 200 requests a second, arrivals at random used 454 of 1,000 turns: a bucket of one request is mostly empty when they come. A stated rate above 2^31 overflowed, and the server was not used at all. Change: a bucket holds the requests of 250 ms, at least one; the number of sharing hosts is bounded before it is converted. Both cases of RateLimitsTest failed before; the bound of one and a half times the rate + 5 in 4 s holds up to 400 a second in the test of the fleet.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -150,9 +150,12 @@
             settings.listen.mesh,
             peers,
             MeshSources(status::build, { suspects.evidence(clock()) }, rateLimits::recentNotices),
-            MeshListeners(::onStatus, {
-                suspects.applyPeerEvidence(it, clock())
-            }, ::onPeerRecords, rateLimits::applyPeerNotices),
+            MeshListeners(
+                ::onStatus,
+                { suspects.applyPeerEvidence(it, clock()) },
+                ::onPeerRecords,
+                rateLimits::applyPeerNotices,
+            ),
         )
     private val stopTask: StopTask =
         StopTask(
@@ -213,9 +216,13 @@
     private fun dutyTask(address: InetSocketAddress): DutyTask {
         val client = DutyClient(HttpClient(loop.group, STORE_LIMITS), address, settings.host)
         val fleet =
-            FleetTask(clock, {
-                configuration.table?.configuration?.pools.orEmpty()
-            }, placement, rateLimits::limited, client)
+            FleetTask(
+                clock,
+                { configuration.table?.configuration?.pools.orEmpty() },
+                placement,
+                rateLimits::limited,
+                client,
+            )
         val duties = DutyTask.Duties(WindowReports(counters), client, fleet::placeOrders)
         return DutyTask(settings.host, claim, clock, ::medianWallMs, DutyLeaseStore(store), lease, peers, duties)
     }
--- a/placement/src/main/kotlin/org/hickorytiller/placement/RateLimits.kt
+++ b/placement/src/main/kotlin/org/hickorytiller/placement/RateLimits.kt
@@ -30,6 +30,7 @@
 /**
  * @property usedShare part of a stated rate that is used; the rest is for hosts that do not know it yet
  * @property minRatePerS rate at which a server is used that states a lower one, so that its next answer can end it
+ * @property burstMs time whose requests a host may send at once, but at least one request
  * @property shareMs time for which the computed share of a host is used
  * @property forgetMs time after its latest statement for which a limit is kept
  * @property sharingMs time for which a notice is sent to peers; it spans several messages
@@ -38,6 +39,7 @@
 data class RateLimitRules(
     val usedShare: Double = 0.9,
     val minRatePerS: Double = 0.1,
+    val burstMs: Long = 250,
     val shareMs: Long = 250,
     val forgetMs: Long = 120_000,
     val sharingMs: Long = 3_000,
@@ -105,13 +107,13 @@
     /** The share of this host in [ratePerS] as a rate; 0 if other hosts share it. */
     private fun shareOf(server: BackendServerId, ratePerS: Double): Double {
         val hosts = readHosts()
-        val sharers = min(hosts.size, 1 + ratePerS.toInt())
+        val sharers = min(ratePerS + 1, hosts.size.toDouble()).toInt()
         val own = rendezvousWeight(localHost.value.hashCode().toLong(), server)
         val ahead = hosts.count { it != localHost && rendezvousWeight(it.value.hashCode().toLong(), server) > own }
         return if (ahead < sharers) max(ratePerS * rules.usedShare, rules.minRatePerS) / max(sharers, 1) else 0.0
     }
 
-    /** A limit with a bucket for one request, which is empty at first: what was sent before also counts. */
+    /** A limit with a token bucket, which is empty at first: what was sent before also counts. */
     private inner class Limit(ratePerS: Double, statedAt: TimeMs, isOwn: Boolean) {
         var ratePerS: Double? = ratePerS
             private set
@@ -143,7 +145,8 @@
                 sharePerS = shareOf(server, ratePerS)
                 sharedAt = now
             }
-            requests = min(1.0, requests + (now - refilledAt) * sharePerS / MS_PER_S)
+            val burst = max(1.0, sharePerS * rules.burstMs / MS_PER_S)
+            requests = min(burst, requests + (now - refilledAt) * sharePerS / MS_PER_S)
             refilledAt = now
         }
     }
--- a/placement/src/test/kotlin/org/hickorytiller/placement/RateLimitsTest.kt
+++ b/placement/src/test/kotlin/org/hickorytiller/placement/RateLimitsTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.doubles.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.doubles.shouldBeLessThanOrEqual
+import io.kotest.matchers.ints.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.shouldBe
 import org.hickorytiller.core.BackendServer
 import org.hickorytiller.core.BackendServerId
@@ -70,7 +71,7 @@
     // Guards against hosts that each keep to a limit by themselves and together exceed it.
     @Test
     fun `hosts together keep to the rate that a server states`() {
-        val cases = listOf(1 to 0.3, 8 to 0.3, 8 to 1.2, 8 to 3.7, 8 to 20.0, 95 to 0.5, 95 to 2.0, 95 to 12.0, 360 to 1.5)
+        val cases = listOf(1 to 0.3, 8 to 0.3, 8 to 1.2, 8 to 3.7, 8 to 20.0, 8 to 400.0, 95 to 0.5, 95 to 2.0, 95 to 12.0, 360 to 1.5)
         cases.forAll { (hostCount, ratePerS) ->
             nowMs = 0
             val sendsMs = Fleet(seed = hostCount, hostCount, ratePerS).run(untilMs = 30_000).sendsMs
@@ -112,6 +113,29 @@
         limits.allows(server) shouldBe false
     }
 
+    // Guards against a bucket that holds one request, which random arrivals mostly find empty.
+    @Test
+    fun `a high rate is used by arrivals at random`() {
+        val limits = limits("a") { listOf("a", "b") }
+        limits.stated(server, 200.0)
+        val random = Random(1)
+        var sent = 0
+        repeat(10_000) {
+            nowMs += 1
+            if (random.nextInt(10) == 0 && limits.allows(server)) sent++.also { limits.sent(server) }
+        }
+        sent shouldBeGreaterThanOrEqual 800
+    }
+
+    // Guards against a server that is never used, since a very large figure overflows.
+    @Test
+    fun `a very high rate limits nothing`() {
+        val limits = limits("a") { listOf("a", "b") }
+        limits.stated(server, 1e300)
+        nowMs += 10
+        limits.allows(server) shouldBe true
+    }
+
     @Test
     fun `statements are shared for a limited time and in a limited number`() {
         val limits = RateLimits(clock, HostId("a"), RateLimitRules(maxShared = 3)) { listOf(HostId("a")) }
