Review case 5: a moved stream without length or chunks ends as complete

A draining replica closes the stream that the daemon has ordered it to move. The daemon takes the close for the end of the answer. With chunks, all else the same, the streams go on and are whole, which rules out the move itself.

--- a/review/standins/Replica.java
+++ b/review/standins/Replica.java
@@ -78,6 +78,12 @@
         thread.start();
     }
 
+    /** Reports that the replica is draining; it serves on. */
+    void leave() {
+        state = "draining";
+        beat();
+    }
+
     /** The signature of the answer to a request. */
     String signature(Http.Message request) {
         return "sig." + id + "." + request.header("Request-Id");
