--- a/review/standins/UnreadableEntry.java
+++ b/review/standins/UnreadableEntry.java
@@ -12,7 +12,7 @@
     private static final String KEY = "review-key-1";
     private static final long BEFORE_MS = 4_000;
     private static final long AFTER_MS = 20_000;
-    private static final int CALLERS_PER_HOST = 6;
+    private static final int CALLERS_PER_HOST = 10;
     private static final long WORK_MS = 150;
 
     /** A binary record that begins with its length, 16 bytes, in four bytes. */
