--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -13,6 +13,9 @@
 
 /** Daemons as separate processes, started with the command of the deploy file, and the record of a case. */
 final class Deployment {
+    private static final String IP_PREFIX = "127.0.0.10";
+    private static volatile boolean isOver;
+
     private final long startedNs = System.nanoTime();
     private final Path folder;
     private final Path logs;
@@ -89,6 +92,8 @@
         int status;
         try {
             status = body.run() ? 1 : 0;
+            // The record ends with the verdict: the callers only see the end of the daemons from here on.
+            isOver = true;
         } catch (Throwable e) {
             e.printStackTrace();
             status = 2;
@@ -97,11 +102,11 @@
     }
 
     Daemon add(int number, String zone, int hosts) throws IOException {
-        String ip = "127.0.0." + (10 + number);
+        String ip = IP_PREFIX + number;
         StringBuilder contacts = new StringBuilder();
         for (int i = 1; i <= Math.min(hosts, 3); i++) {
             if (i > 1) contacts.append(", ");
-            contacts.append("\"127.0.0.").append(10 + i).append(":").append(ports[3]).append('"');
+            contacts.append("\"" + IP_PREFIX).append(i).append(":").append(ports[3]).append('"');
         }
         String name = "edge-" + number;
         String text = "host = \"" + name + "\"\nfailureDomain = \"" + zone + "\"\ncontacts = [" + contacts + "]\n"
@@ -132,6 +137,7 @@
     }
 
     synchronized void note(String line) {
+        if (isOver) return;
         try {
             record.write(String.format("%7.3f s  %s%n", nowMs() / 1000.0, line));
             record.flush();
