Treat every exception of a decoder as invalid input

Cause: parseTree caught JsonProcessingException. For bytes that look like UTF-32 Jackson throws CharConversionException, which is no subtype. The log of the case names it (task_failed task=servers). Ruled out: a page that cannot be divided into records, and a field that fails after parsing.

--- a/configuration/src/main/kotlin/org/hickorytiller/configuration/ConfigurationParser.kt
+++ b/configuration/src/main/kotlin/org/hickorytiller/configuration/ConfigurationParser.kt
@@ -5,6 +5,7 @@
 package org.hickorytiller.configuration
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import com.fasterxml.jackson.core.JsonLocation
@@ -12,6 +13,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode
 import org.hickorytiller.core.SettingsFault
 import org.hickorytiller.core.SettingsReader
+import org.hickorytiller.core.decodeUntrusted
 import org.hickorytiller.core.readSettings
 import org.hickorytiller.core.toml
 
@@ -81,12 +83,14 @@
     Section.ROUTES -> routes.map { it.name }
 }
 
-private fun parseToml(text: String): Either<DocumentFault, ObjectNode> = try {
-    // The parser returns a missing node instead of an empty table for an empty text.
-    (toml.readTree(text) as? ObjectNode ?: toml.createObjectNode()).right()
-} catch (e: JsonProcessingException) {
-    DocumentFault(e.location?.let(::lineOf), "", e.originalMessage).left()
-}
+private fun parseToml(text: String): Either<DocumentFault, ObjectNode> = decodeUntrusted {
+    try {
+        // The parser returns a missing node instead of an empty table for an empty text.
+        (toml.readTree(text) as? ObjectNode ?: toml.createObjectNode()).right()
+    } catch (e: JsonProcessingException) {
+        DocumentFault(e.location?.let(::lineOf), "", e.originalMessage).left()
+    }
+}.getOrElse { DocumentFault(null, "", it.message).left() }
 
 /** Returns the line of a syntax error. The parser detects some errors only at the start of the next line. */
 private fun lineOf(location: JsonLocation): Int =
--- a/configuration/src/main/kotlin/org/hickorytiller/configuration/RecordCodec.kt
+++ b/configuration/src/main/kotlin/org/hickorytiller/configuration/RecordCodec.kt
@@ -4,12 +4,12 @@
  */
 package org.hickorytiller.configuration
 
-import com.fasterxml.jackson.core.JsonProcessingException
+import arrow.core.getOrElse
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.node.ObjectNode
+import org.hickorytiller.core.decodeUntrusted
 import org.hickorytiller.core.json
 import org.hickorytiller.keys.parseKeyHash
-import java.io.IOException
 
 /** Result of decoding a record. */
 sealed interface DecodedRecord {
@@ -29,14 +29,7 @@
 /** Decodes a record. The result depends only on [data]. */
 fun decodeConfigurationRecord(data: ByteArray): DecodedRecord {
     if (data.size > MAX_RECORD_BYTES) return DecodedRecord.Malformed("${data.size} bytes exceed $MAX_RECORD_BYTES")
-    return try {
-        decodeTree(json.readTree(data))
-    } catch (e: JsonProcessingException) {
-        DecodedRecord.Malformed(e.originalMessage)
-    } catch (e: IOException) {
-        // The bytes are not text in any encoding that JSON allows.
-        DecodedRecord.Malformed(e.message ?: "not text")
-    }
+    return decodeUntrusted { decodeTree(json.readTree(data)) }.getOrElse { DecodedRecord.Malformed(it.message) }
 }
 
 private fun decodeTree(tree: JsonNode?): DecodedRecord {
--- a/configuration/src/main/kotlin/org/hickorytiller/configuration/StateCodec.kt
+++ b/configuration/src/main/kotlin/org/hickorytiller/configuration/StateCodec.kt
@@ -8,17 +8,16 @@
 import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
-import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.node.ObjectNode
 import com.fasterxml.jackson.module.kotlin.treeToValue
 import org.hickorytiller.core.CustomerId
 import org.hickorytiller.core.KeyHash
 import org.hickorytiller.core.LogOffset
+import org.hickorytiller.core.decodeUntrusted
 import org.hickorytiller.core.json
 import org.hickorytiller.core.readSettings
 import org.hickorytiller.keys.parseKeyHash
-import java.io.IOException
 import java.util.TreeMap
 
 /** Returns the encoding of [state], not compressed. */
@@ -48,25 +47,17 @@
 fun decodeState(bytes: ByteArray): Either<String, ConfigurationState> =
     readTree(bytes).fold({ it.left() }, ::decodeState)
 
-internal fun decodeState(root: JsonNode): Either<String, ConfigurationState> = try {
+internal fun decodeState(root: JsonNode): Either<String, ConfigurationState> = decodeUntrusted {
     when {
         root !is ObjectNode -> "not an object".left()
-        root.path(
-            "schema",
-        ).asLong(-1) != CONFIGURATION_SCHEMA.toLong() -> "unknown schema ${root.path("schema")}".left()
+        root.path("schema").asLong(-1) != CONFIGURATION_SCHEMA.toLong() ->
+            "unknown schema ${root.path("schema")}".left()
         else -> decodeTree(root)
     }
-} catch (e: JsonProcessingException) {
-    (e.originalMessage ?: "malformed").left()
-} catch (e: IllegalArgumentException) {
-    (e.message ?: "malformed").left()
-}
+}.getOrElse { it.message.left() }
 
-internal fun readTree(bytes: ByteArray): Either<String, JsonNode> = try {
-    json.readTree(bytes).right()
-} catch (e: IOException) {
-    (e.message ?: "malformed").left()
-}
+internal fun readTree(bytes: ByteArray): Either<String, JsonNode> =
+    decodeUntrusted { json.readTree(bytes) }.mapLeft { it.message }
 
 private fun JsonNode.requiredObject(name: String): ObjectNode =
     required(name) as? ObjectNode ?: throw IllegalArgumentException("$name is not an object")
--- a/core/src/main/kotlin/org/hickorytiller/core/JsonTree.kt
+++ b/core/src/main/kotlin/org/hickorytiller/core/JsonTree.kt
@@ -17,6 +17,10 @@
 fun JsonNode.longOrNull(name: String): Long? =
     path(name).takeIf { it.isIntegralNumber && it.canConvertToLong() }?.longValue()
 
+/** Returns the integer in the field [name]; null if it is missing, not an integer or out of the range of an int. */
+fun JsonNode.intOrNull(name: String): Int? =
+    path(name).takeIf { it.isIntegralNumber && it.canConvertToInt() }?.intValue()
+
 /** Returns the number in the field [name]; null if it is missing or not a number. */
 fun JsonNode.doubleOrNull(name: String): Double? = path(name).takeIf { it.isNumber }?.doubleValue()
 
--- a/core/src/main/kotlin/org/hickorytiller/core/RecordFault.kt
+++ b/core/src/main/kotlin/org/hickorytiller/core/RecordFault.kt
@@ -5,9 +5,9 @@
 package org.hickorytiller.core
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
-import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.exc.InvalidTypeIdException
 
@@ -23,27 +23,24 @@
 /** Decodes [data] as a record of [type] with a schema of at most [newestSchema]. */
 fun <T : Any> decodeRecord(data: ByteArray, type: Class<T>, newestSchema: Int): Either<RecordFault, T> {
     val node =
-        try {
-            json.readTree(data)
-        } catch (e: JsonProcessingException) {
-            return RecordFault.Malformed(e.originalMessage).left()
-        }
+        decodeUntrusted { json.readTree(data) }.getOrElse { return RecordFault.Malformed(it.message).left() }
     if (node == null || !node.isObject) return RecordFault.Malformed("not an object").left()
     val schema = node.path("schema").asInt(1)
     if (schema > newestSchema) return RecordFault.UnknownSchema(node.typeName(), schema).left()
     return decodeNode(node, type, schema)
 }
 
-private fun <T : Any> decodeNode(node: JsonNode, type: Class<T>, schema: Int): Either<RecordFault, T> = try {
-    json.treeToValue(node, type).right()
-} catch (e: InvalidTypeIdException) {
-    if (node.typeName().isEmpty()) {
-        RecordFault.Malformed(e.originalMessage).left()
-    } else {
-        RecordFault.UnknownSchema(node.typeName(), schema).left()
-    }
-} catch (e: JsonProcessingException) {
-    RecordFault.Malformed(e.originalMessage).left()
-}
+private fun <T : Any> decodeNode(node: JsonNode, type: Class<T>, schema: Int): Either<RecordFault, T> =
+    decodeUntrusted {
+        try {
+            json.treeToValue(node, type).right()
+        } catch (e: InvalidTypeIdException) {
+            if (node.typeName().isEmpty()) {
+                RecordFault.Malformed(e.originalMessage).left()
+            } else {
+                RecordFault.UnknownSchema(node.typeName(), schema).left()
+            }
+        }
+    }.getOrElse { RecordFault.Malformed(it.message).left() }
 
 private fun JsonNode.typeName() = path("type").asText("")
--- a/core/src/main/kotlin/org/hickorytiller/core/SettingsReader.kt
+++ b/core/src/main/kotlin/org/hickorytiller/core/SettingsReader.kt
@@ -5,6 +5,7 @@
 package org.hickorytiller.core
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
 import com.fasterxml.jackson.core.JsonProcessingException
@@ -22,16 +23,19 @@
  * and mistyped values, values outside their range, and names that [build] did not read.
  */
 fun <T> readSettings(text: String, build: (SettingsReader) -> T): Either<List<SettingsFault>, T> {
-    val root =
-        try {
-            toml.readTree(text) as ObjectNode
-        } catch (e: JsonProcessingException) {
-            val line = e.location?.lineNr ?: 0
-            return listOf(SettingsFault("", "line $line: ${e.originalMessage}")).left()
-        }
+    val root = parseToml(text).getOrElse { return listOf(it).left() }
     return readSettings(root, build)
 }
 
+private fun parseToml(text: String): Either<SettingsFault, ObjectNode> = decodeUntrusted {
+    try {
+        // The parser returns a missing node instead of an empty table for an empty text.
+        (toml.readTree(text) as? ObjectNode ?: toml.createObjectNode()).right()
+    } catch (e: JsonProcessingException) {
+        SettingsFault("", "line ${e.location?.lineNr ?: 0}: ${e.originalMessage}").left()
+    }
+}.getOrElse { SettingsFault("", it.message).left() }
+
 /** Builds a value from the parsed table [root] in the same way. */
 fun <T> readSettings(root: ObjectNode, build: (SettingsReader) -> T): Either<List<SettingsFault>, T> {
     val faults = mutableListOf<SettingsFault>()
@@ -162,9 +166,16 @@
 fun parseAddress(text: String): InetSocketAddress? {
     val host = text.substringBeforeLast(':', "").removeSurrounding("[", "]")
     val port = text.substringAfterLast(':').toIntOrNull() ?: return null
-    val isLiteral = host.isNotEmpty() && host.all { it in "0123456789abcdefABCDEF.:" }
-    if (!isLiteral || port !in 0..MAX_PORT) return null
-    return runCatching { InetSocketAddress(host, port) }.getOrNull()
+    if (!host.isIpLiteral() || port !in 0..MAX_PORT) return null
+    return runCatching { InetSocketAddress(host, port) }.getOrNull()?.takeIf { !it.isUnresolved }
+}
+
+// Anything else would be looked up by name, which can block the calling thread for seconds.
+private fun String.isIpLiteral(): Boolean {
+    if (':' in this) return all { it in IPV6_CHARACTERS }
+    val octets = split('.')
+    return octets.size == IPV4_OCTETS &&
+        octets.all { octet -> octet.length in 1..3 && octet.all { it in '0'..'9' } && octet.toInt() <= MAX_OCTET }
 }
 
 /** Formats an address as `IP:PORT`, the inverse of [parseAddress]. */
@@ -174,3 +185,6 @@
 }
 
 private const val MAX_PORT = 65_535
+private const val IPV4_OCTETS = 4
+private const val MAX_OCTET = 255
+private const val IPV6_CHARACTERS = "0123456789abcdefABCDEF.:"
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/ServerView.kt
@@ -91,12 +91,19 @@
     private fun apply(record: KeyedRecord) {
         val id = BackendServerId(record.key)
         val server = record.value?.let { decodeServer(record.key, it) }
-        if (server == null) return onMissing(id)
+        if (server == null) {
+            record.value?.let { logInvalid(record.key, it) }
+            return onMissing(id)
+        }
         val known = servers.put(id, server)
         missingSince -= id
         if (known != server) logChange(server)
     }
 
+    private fun logInvalid(key: String, value: ByteArray) = log.warn {
+        "event=server_entry_invalid id=${key.filter { it in '!'..'~' }.take(MAX_LOGGED_KEY)} bytes=${value.size}"
+    }
+
     private fun logChange(server: BackendServer) = log.info {
         "event=server id=${server.id} pool=${server.pool} domain=${server.failureDomain} state=${server.state} " +
             "reclaimable=${server.reclaimable} at=${server.address}"
@@ -147,5 +154,7 @@
         // Entries that expired during an outage are written again within two seconds of its end.
         const val OUTAGE_WINDOW_MS = 4_000L
         const val REAPPEAR_TIMEOUT_MS = 1_700L
+
+        const val MAX_LOGGED_KEY = 60
     }
 }
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/ServerViewTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/ServerViewTest.kt
@@ -79,6 +79,20 @@
         await { servers() == 0 }
     }
 
+    /** Regression test: one unreadable entry ended every daemon that read it, again at each start (review/1). */
+    @Test
+    fun `an entry that cannot be read leaves the other servers in use`() {
+        // Jackson assumes UTF-32 because of the zero bytes.
+        val entries = listOf("\u0000\u0000\u0000\u0010\u007f\u007f\u007f\u007f", "[".repeat(5_000), ENTRY.replace(":9", ":99999"))
+        entries.forEachIndexed { index, entry -> onLoop { store.put(TOPIC, "odd-$index", entry) } }
+        onLoop { store.put(TOPIC, "i-2", ENTRY) }
+        await { servers() == 2 }
+        // A host that has just started reads the newest record of each key.
+        onLoop { store.compact(TOPIC) }
+        onLoop { store.put(TOPIC, "i-3", ENTRY) }
+        await { servers() == 3 }
+    }
+
     @Test
     fun `live servers are kept for a while after their entries expire in an unnoticed outage`() {
         // Neither a read nor a peer reports anything meanwhile, as in an outage shorter than the stale limit.
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/CompletionEvent.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/CompletionEvent.kt
@@ -1,9 +1,8 @@
 /** Parses the events and responses of a model engine, as far as dispatch and charging need them. */
 package org.hickorytiller.dispatch
 
-import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
-import org.hickorytiller.core.json
+import org.hickorytiller.core.parseTree
 
 /** Token counts that an engine reports in a `usage` field. */
 data class ReportedUsage(val promptTokens: Int, val completionTokens: Int)
@@ -27,7 +26,7 @@
 /** Parses the `data` of an event. Data that cannot be parsed counts as an event without tokens. */
 fun parseCompletionEvent(data: String): CompletionEvent {
     if (data.trim() == "[DONE]") return CompletionEvent(0, null, isTextEnd = false, isDone = true, isError = false)
-    val root = parse(data.toByteArray())
+    val root = parseTree(data.toByteArray())
     val choices = root?.path("choices")?.toList().orEmpty()
     return CompletionEvent(
         tokens = if (choices.any { it.path("delta").hasToken() }) 1 else 0,
@@ -39,7 +38,7 @@
 }
 
 /** Returns the counts in a complete response; null if it has none. */
-fun parseUsage(body: ByteArray): ReportedUsage? = parse(body)?.let(::usageFrom)
+fun parseUsage(body: ByteArray): ReportedUsage? = parseTree(body)?.let(::usageFrom)
 
 private fun JsonNode.hasToken(): Boolean = path("content").asText("").isNotEmpty() ||
     path("reasoning_content").asText("").isNotEmpty() ||
@@ -53,9 +52,3 @@
         usage.path("completion_tokens").asInt(0).coerceAtLeast(0),
     )
 }
-
-private fun parse(bytes: ByteArray): JsonNode? = try {
-    json.readTree(bytes)
-} catch (_: JsonProcessingException) {
-    null
-}
--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/IntentMessages.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/IntentMessages.kt
@@ -2,13 +2,14 @@
 package org.hickorytiller.dispatch
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
-import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
 import org.hickorytiller.core.CustomerId
 import org.hickorytiller.core.HostId
 import org.hickorytiller.core.StreamName
+import org.hickorytiller.core.decodeUntrusted
 import org.hickorytiller.core.json
 import java.util.Base64
 
@@ -88,18 +89,14 @@
 )
 
 /** Decodes a log record; on the left, the reason why it cannot be decoded. */
-fun decodeIntents(data: ByteArray): Either<String, List<IntentRecord>> = try {
+fun decodeIntents(data: ByteArray): Either<String, List<IntentRecord>> = decodeUntrusted {
     val root = json.readTree(data)
     when {
         root == null || root.path("type").asText() != BATCH_TYPE -> "unknown record type".left()
         root.path("schema").asInt() != SCHEMA -> "unknown schema ${root.path("schema")}".left()
         else -> root.required("records").map(::decode).right()
     }
-} catch (e: JsonProcessingException) {
-    "not JSON: ${e.originalMessage}".left()
-} catch (e: IllegalArgumentException) {
-    "malformed: ${e.message}".left()
-}
+}.getOrElse { "malformed: $it".left() }
 
 private fun encode(record: IntentRecord): Map<String, Any?> {
     val fields = linkedMapOf<String, Any?>(
--- a/hickoryctl/src/main/kotlin/org/hickorytiller/hickoryctl/AdminClient.kt
+++ b/hickoryctl/src/main/kotlin/org/hickorytiller/hickoryctl/AdminClient.kt
@@ -4,10 +4,9 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
 import org.hickorytiller.core.formatAddress
-import org.hickorytiller.core.json
+import org.hickorytiller.core.parseTree
 import org.hickorytiller.http.Headers
 import org.hickorytiller.http.HttpClient
 import org.hickorytiller.http.HttpStatus
@@ -38,9 +37,11 @@
         )
     }
 
-    private fun decode(response: Response): Either<AdminFault, JsonNode> = try {
-        val body = json.readTree(response.body)
-        when {
+    private fun decode(response: Response): Either<AdminFault, JsonNode> {
+        val body =
+            parseTree(response.body)
+                ?: return AdminFault(ExitCode.UNREACHABLE, "answered ${response.status} without JSON").left()
+        return when {
             response.status in OK_STATUS -> body.right()
             response.status == HttpStatus.SERVICE_UNAVAILABLE -> AdminFault(
                 ExitCode.UNREACHABLE,
@@ -48,8 +49,6 @@
             ).left()
             else -> AdminFault(ExitCode.REFUSED, errorMessage(response, body)).left()
         }
-    } catch (_: JsonProcessingException) {
-        AdminFault(ExitCode.UNREACHABLE, "answered ${response.status} without JSON").left()
     }
 
     private fun errorMessage(response: Response, body: JsonNode): String =
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/Mesh.kt
@@ -13,6 +13,7 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.coroutines.delay
+import org.hickorytiller.core.parseTree
 import org.hickorytiller.placement.RateLimitNotice
 import org.hickorytiller.quarantine.CrashEvidence
 import java.net.InetSocketAddress
@@ -118,7 +119,7 @@
         override fun channelRead0(ctx: ChannelHandlerContext, packet: DatagramPacket) {
             val bytes = ByteArray(packet.content().readableBytes())
             packet.content().readBytes(bytes)
-            val message = parseMessage(bytes) ?: return
+            val message = parseTree(bytes) ?: return
             val status = decodeStatus(message)
             if (status != null) return receive(status)
             val evidence = decodeCrashEvidence(message)
--- a/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
+++ b/mesh/src/main/kotlin/org/hickorytiller/mesh/StatusCodec.kt
@@ -6,7 +6,6 @@
 
 import arrow.core.raise.SingletonRaise
 import arrow.core.raise.nullable
-import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.databind.JsonNode
 import com.fasterxml.jackson.databind.node.ObjectNode
 import org.hickorytiller.core.BackendServerId
@@ -20,6 +19,7 @@
 import org.hickorytiller.core.jsonTreeMapper
 import org.hickorytiller.core.longOrNull
 import org.hickorytiller.core.parseAddress
+import org.hickorytiller.core.parseTree
 import org.hickorytiller.core.textOrNull
 import org.hickorytiller.placement.PromptPartId
 import org.hickorytiller.placement.PromptPartLocation
@@ -55,15 +55,8 @@
     return jsonTreeMapper.writeValueAsBytes(root)
 }
 
-/** Parses a message; null if it is no JSON. */
-internal fun parseMessage(bytes: ByteArray): JsonNode? = try {
-    jsonTreeMapper.readTree(bytes)
-} catch (_: JsonProcessingException) {
-    null
-}
-
 /** Decodes the status in [bytes]; null if it is invalid. */
-internal fun decodeStatus(bytes: ByteArray): HostStatus? = parseMessage(bytes)?.let(::decodeStatus)
+internal fun decodeStatus(bytes: ByteArray): HostStatus? = parseTree(bytes)?.let(::decodeStatus)
 
 /** Decodes the status in [root]; null if it is invalid. */
 internal fun decodeStatus(root: JsonNode): HostStatus? = nullable { decodeFields(root) }
--- a/mesh/src/test/kotlin/org/hickorytiller/mesh/CrashEvidenceCodecTest.kt
+++ b/mesh/src/test/kotlin/org/hickorytiller/mesh/CrashEvidenceCodecTest.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.shouldBe
 import org.hickorytiller.core.BackendServerId
 import org.hickorytiller.core.FailureDomain
+import org.hickorytiller.core.parseTree
 import org.hickorytiller.quarantine.CrashEvidence
 import org.hickorytiller.quarantine.Fingerprint
 import org.hickorytiller.quarantine.FingerprintAnswer
@@ -19,11 +20,11 @@
     private val crash = FingerprintCrash(fingerprint, ServerIncarnation(BackendServerId("i-0123456789"), 1_796_387_703_962), FailureDomain("cl-central-a"), 40)
     private val evidence = CrashEvidence(listOf(crash), listOf(FingerprintAnswer(fingerprint, 50)), listOf(FingerprintQuarantine(fingerprint, 60)))
 
-    private fun decode(text: String) = decodeCrashEvidence(parseMessage(text.toByteArray()).shouldNotBeNull())
+    private fun decode(text: String) = decodeCrashEvidence(parseTree(text.toByteArray()).shouldNotBeNull())
 
     @Test
     fun `evidence is decoded as it was encoded and is no other kind of message`() {
-        val message = parseMessage(encodeCrashEvidence(evidence)).shouldNotBeNull()
+        val message = parseTree(encodeCrashEvidence(evidence)).shouldNotBeNull()
         decodeCrashEvidence(message) shouldBe evidence
         decodeStatus(message) shouldBe null
         decodeTopicRecords(message) shouldBe null
--- a/mesh/src/test/kotlin/org/hickorytiller/mesh/RateLimitCodecTest.kt
+++ b/mesh/src/test/kotlin/org/hickorytiller/mesh/RateLimitCodecTest.kt
@@ -6,15 +6,16 @@
 import io.kotest.matchers.nulls.shouldNotBeNull
 import io.kotest.matchers.shouldBe
 import org.hickorytiller.core.BackendServerId
+import org.hickorytiller.core.parseTree
 import org.hickorytiller.placement.RateLimitNotice
 
 class RateLimitCodecTest : AnnotationSpec() {
-    private fun decode(text: String) = decodeRateLimits(parseMessage(text.toByteArray()).shouldNotBeNull())
+    private fun decode(text: String) = decodeRateLimits(parseTree(text.toByteArray()).shouldNotBeNull())
 
     @Test
     fun `notices are decoded as they were encoded and are no other kind of message`() {
         val notices = listOf(RateLimitNotice(BackendServerId("i-1"), 1.25, 40), RateLimitNotice(BackendServerId("i-2"), null, 0))
-        val message = parseMessage(encodeRateLimits(notices)).shouldNotBeNull()
+        val message = parseTree(encodeRateLimits(notices)).shouldNotBeNull()
         decodeRateLimits(message) shouldBe notices
         decodeStatus(message) shouldBe null
         decodeCrashEvidence(message) shouldBe null
--- a/mesh/src/test/kotlin/org/hickorytiller/mesh/TopicRecordsTest.kt
+++ b/mesh/src/test/kotlin/org/hickorytiller/mesh/TopicRecordsTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.matchers.shouldBe
 import org.hickorytiller.core.LogOffset
 import org.hickorytiller.core.StreamName
+import org.hickorytiller.core.parseTree
 
 class TopicRecordsTest : AnnotationSpec() {
     private fun records(vararg sizes: Int) = TopicRecords(StreamName("t"), LogOffset(7), sizes.map { TopicRecord("k", ByteArray(it - 1)) })
@@ -15,7 +16,7 @@
     @Test
     fun `records arrive unchanged, and a deleted key without a value`() {
         val sent = TopicRecords(StreamName("t"), LogOffset(7), listOf(TopicRecord("a", byteArrayOf(1, 2)), TopicRecord("b", null)))
-        val received = decodeTopicRecords(parseMessage(encodeTopicRecords(sent))!!)!!
+        val received = decodeTopicRecords(parseTree(encodeTopicRecords(sent))!!)!!
         received.topic shouldBe sent.topic
         received.from shouldBe sent.from
         received.records.map { it.key to it.value?.toList() } shouldContainExactly listOf("a" to listOf<Byte>(1, 2), "b" to null)
@@ -41,6 +42,6 @@
             """{"topic":"t","from":1,"records":[["k",7]]}""",
             """{"topic":"t","from":1,"records":[["k","%"]]}""",
             """{"topic":"t","from":1,"records":[{}]}""",
-        ).forAll { text -> parseMessage(text.toByteArray())?.let(::decodeTopicRecords) shouldBe null }
+        ).forAll { text -> parseTree(text.toByteArray())?.let(::decodeTopicRecords) shouldBe null }
     }
 }
--- a/router/src/main/kotlin/org/hickorytiller/router/BackendServerTask.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/BackendServerTask.kt
@@ -1,7 +1,6 @@
 /** Keeps the table of backend servers up to date from the platform's list and from the servers' load reports. */
 package org.hickorytiller.router
 
-import com.fasterxml.jackson.core.JsonProcessingException
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.coroutineScope
@@ -14,7 +13,7 @@
 import org.hickorytiller.core.BackendServerState
 import org.hickorytiller.core.ModelId
 import org.hickorytiller.core.PoolId
-import org.hickorytiller.core.json
+import org.hickorytiller.core.parseTree
 import org.hickorytiller.http.HttpClient
 import org.hickorytiller.http.RequestHead
 import org.hickorytiller.platform.ListBackendServers
@@ -79,12 +78,7 @@
 
 /** Decodes a load report; null if it is malformed. */
 internal fun parseLoadReport(body: ByteArray): LoadReport? {
-    val root =
-        try {
-            json.readTree(body)
-        } catch (_: JsonProcessingException) {
-            return null
-        }
+    val root = parseTree(body)
     val inFlight = root?.path("inFlight")?.takeIf { it.isInt && it.intValue() >= 0 }?.intValue() ?: return null
     val slots = root.path("slots").asInt(inFlight)
     val models = root.path("models").takeIf { it.isArray }?.map { ModelId(it.asText()) }?.toSet()
--- a/router/src/main/kotlin/org/hickorytiller/router/ChatRequest.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/ChatRequest.kt
@@ -2,17 +2,17 @@
 package org.hickorytiller.router
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import arrow.core.left
 import arrow.core.right
-import com.fasterxml.jackson.core.JsonProcessingException
 import com.fasterxml.jackson.core.StreamReadFeature
 import com.fasterxml.jackson.databind.DeserializationFeature
 import com.fasterxml.jackson.databind.JsonNode
 import org.hickorytiller.core.ModelId
+import org.hickorytiller.core.decodeUntrusted
 import org.hickorytiller.core.json
 import org.hickorytiller.quarantine.Fingerprint
 import org.hickorytiller.quarantine.promptPartFingerprint
-import java.io.IOException
 
 /**
  * The fields of a chat completion request that the router uses.
@@ -32,14 +32,7 @@
  * other value.
  */
 internal fun parseChatRequest(body: ByteArray): Either<String, ChatRequest> {
-    val root =
-        try {
-            strictReader.readTree(body)
-        } catch (e: JsonProcessingException) {
-            return "body is not JSON: ${e.originalMessage}".left()
-        } catch (e: IOException) {
-            return "body is not UTF-8: ${e.message}".left()
-        }
+    val root = decodeUntrusted { strictReader.readTree(body) }.getOrElse { return "body is not JSON: $it".left() }
     if (!root.isObject) return "body is not a JSON object".left()
     val error = validators.firstNotNullOfOrNull { validate -> validate(root) }
     if (error != null) return error.left()
