Refuse requests that a stopping host cannot finish

Cause: the daemon served whatever arrived however little time was left, also while it wrote its last log lines. Ruled out by the record: the listener, which closes after 3.3 s (all lost streams came on open connections), and the directory as the only cause (it names stopping hosts when it has no others, but that alone cuts nothing off).

Change: StopTask.accepts. A stopping host names itself in its directory only if it knows no other. The router's drain refuses likewise what may outlast its limit and what arrives while it announces its end.

After: the cases of DaemonTest, StopTaskTest and DrainTest pass.

--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/CallerTask.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/CallerTask.kt
@@ -30,9 +30,6 @@
 import org.hickorytiller.routes.choosePool
 import java.util.Locale
 
-/** Whether the daemon is stopping, so that responses close their connections and callers use another host. */
-internal typealias IsStopping = () -> Boolean
-
 /** Serves callers. Confined to the event loop. */
 internal class CallerTask(
     private val clock: Clock,
@@ -40,8 +37,10 @@
     private val relay: Relay,
     private val metrics: DaemonMetrics,
     private val inFlight: InFlight,
-    private val isStopping: IsStopping,
+    private val stop: StopTask,
 ) {
+    private val recentDurations = RecentDurations()
+
     /** Serves [connection] until it ends. */
     suspend fun serve(connection: ServerConnection) {
         while (true) {
@@ -59,7 +58,7 @@
             rejectInvalid(connection, it)
             return false
         }
-        if (isStopping()) connection.closeAfterResponse = true
+        if (stop.isStopping) connection.closeAfterResponse = true
         val isFresh = configuration.isFresh()
         val table = configuration.table
         val resolution = table?.resolve(caller.host, head.path, caller.key)
@@ -88,6 +87,9 @@
                         deadline = receivedAt + waitMs,
                         fingerprint = crc32Fingerprint(resolution.customer?.id, head.target, body),
                     )
+                if (!stop.accepts(request.deadline, recentDurations.longestMs(resolution.route.id))) {
+                    return reject(connection, caller, Rejection.STOPPING)
+                }
                 relayWhileOpen(connection, request)
             }
         }
@@ -183,6 +185,7 @@
 
     private fun logEnd(request: RelayRequest, outcome: RelayOutcome, status: Int) {
         val tookMs = clock() - request.receivedAt
+        if (outcome.reason == OutcomeReason.ANSWERED) recentDurations.record(request.route.id, tookMs)
         metrics.ended(request.route.id.value, outcome.reason.code, tookMs, outcome.firstByteMs)
         log.info {
             "event=request id=${request.id} route=${request.route.id} pool=${request.pool} " +
@@ -201,6 +204,9 @@
     private enum class Rejection(val status: Int) {
         CONFIGURATION_UNPROVEN(HttpStatus.SERVICE_UNAVAILABLE),
         NO_POOL(HttpStatus.SERVICE_UNAVAILABLE),
+
+        /** The process stops before the request would have ended. */
+        STOPPING(HttpStatus.SERVICE_UNAVAILABLE),
         NO_ROUTE(HttpStatus.NOT_FOUND),
         UNKNOWN_KEY(HttpStatus.UNAUTHORIZED),
         ;
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/Daemon.kt
@@ -166,7 +166,7 @@
             stopAccepting = { callerServer?.close() },
         )
     private val callers: CallerTask =
-        CallerTask(clock, configuration, relay, metrics, inFlight) { stopTask.isStopping }
+        CallerTask(clock, configuration, relay, metrics, inFlight, stopTask)
     private var callerServer: HttpServer? = null
     private val reload = SettingsReload(settings, readSettings, ::addContacts)
 
@@ -287,7 +287,9 @@
         val remote = peers.filter { it.canServe }.map { it.callerAddress }
         val local = listOf(settings.listen.callers).filter { canServe() }
         // While the store is unavailable no host can prove its configuration, so callers may use any of them.
-        val all = peers.map { it.callerAddress } + settings.listen.callers
+        // A stopping host names itself only if it knows no other one.
+        val self = settings.listen.callers
+        val all = peers.map { it.callerAddress } + listOf(self).filter { !stopTask.isStopping || peers.isEmpty() }
         val addresses = (local + remote).ifEmpty { all }
         return encodeDirectory(addresses, minOf(DIRECTORY_LIFETIME_MS, bounds.directoryLifetimeMs) / MS_PER_S)
     }
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/StopTask.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/StopTask.kt
@@ -1,6 +1,9 @@
 /**
  * A planned stop. Callers cache the directory's responses, so the host first leaves the directory and goes on serving
  * until those responses have expired. Then it stops accepting connections and waits for the requests in flight.
+ *
+ * Callers may go on using open connections, for example while all hosts stop in turn. A request that may outlast the
+ * process is refused, since its caller can still try another host.
  */
 package org.hickorytiller.daemon
 
@@ -9,13 +12,17 @@
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.delay
 import org.hickorytiller.core.Clock
+import org.hickorytiller.core.TimeMs
 
 /**
+ * @property handoverMs time in which callers may not know of the stop. A request is then refused only if recent
+ *   responses of its route took longer than the process has left; later it is refused unless its deadline is earlier
+ *   than the end of the process. The platform excuses the loss of requests that were sent in the first 3 s only.
  * @property acceptMs time for which connections are still accepted: callers use a directory response for up to three
  *   times its lifetime
  * @property limitMs time after which the process ends even if requests are still in flight
  */
-internal data class StopRules(val acceptMs: Long, val limitMs: Long)
+internal data class StopRules(val acceptMs: Long, val limitMs: Long, val handoverMs: Long = 2_800)
 
 /** The stop of one process. Confined to the event loop. */
 internal class StopTask(
@@ -26,25 +33,41 @@
     private val stopAccepting: () -> Unit,
 ) {
     private val done = CompletableDeferred<Unit>()
+    private var startedAt: TimeMs? = null
+    private var isEnding = false
 
     /** Whether a stop has begun. */
-    var isStopping = false
-        private set
+    val isStopping: Boolean get() = startedAt != null
 
     /** Completes when the process may end. */
     val ended: Deferred<Unit> get() = done
 
+    /**
+     * Whether a request may be accepted now that has to end by [deadline] and, as far as is known of its route, takes
+     * [expectedMs].
+     */
+    fun accepts(deadline: TimeMs, expectedMs: Long?): Boolean {
+        val stopAt = startedAt ?: return true
+        if (isEnding) return false
+        val now = clock()
+        val endAt = stopAt + rules.limitMs
+        val isHandover = now - stopAt < rules.handoverMs
+        val expectedEnd = if (isHandover && expectedMs != null) now + expectedMs else deadline
+        return minOf(expectedEnd, deadline) <= endAt
+    }
+
     /** Stops the process; returns when it may end. */
     suspend fun stop() {
         if (isStopping) return
-        isStopping = true
-        val startedAt = clock()
+        val stopAt = clock()
+        startedAt = stopAt
         log.info { "event=stop_begun inFlight=${inFlight.count}" }
         leaveDirectory()
         delay(rules.acceptMs)
         stopAccepting()
-        while (inFlight.count > 0 && clock() - startedAt < rules.limitMs) delay(POLL_MS)
-        log.info { "event=stop_ended afterMs=${clock() - startedAt} inFlight=${inFlight.count}" }
+        while (inFlight.count > 0 && clock() - stopAt < rules.limitMs) delay(POLL_MS)
+        isEnding = true
+        log.info { "event=stop_ended afterMs=${clock() - stopAt} inFlight=${inFlight.count}" }
         delay(LOG_FLUSH_MS)
         done.complete(Unit)
     }
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/DaemonTest.kt
@@ -181,6 +181,20 @@
         response.head.headers["connection"] shouldBe "close"
     }
 
+    /** Regression test: a host that is about to end passed requests of open connections on and cut them off (review/3). */
+    @Test
+    fun `requests on open connections are refused as not run once the process is about to end`() {
+        world.beginStop()
+        // The connections of the warm-up are still open, and the host goes on reading from them.
+        Thread.sleep(4_000)
+        val refused = world.post("/chat/x", "late", "key-1", "Token-Usage" to "10,12")
+        refused.status shouldBe 503
+        String(refused.body) shouldContain "not_run"
+        refused.head.headers["connection"] shouldBe "close"
+        refused.head.headers["Retry-After"] shouldBe "0.2"
+        world.runsOf("late") shouldBe 0
+    }
+
     @Test
     fun `metrics count outcomes and rejections`() {
         world.post("/once/x", "r1", "key-3")
--- a/daemon/src/test/kotlin/org/hickorytiller/daemon/StopTaskTest.kt
+++ b/daemon/src/test/kotlin/org/hickorytiller/daemon/StopTaskTest.kt
@@ -1,16 +1,19 @@
 package org.hickorytiller.daemon
 
 import io.kotest.core.spec.style.AnnotationSpec
+import io.kotest.inspectors.forAll
 import io.kotest.matchers.collections.shouldContainExactly
 import io.kotest.matchers.longs.shouldBeGreaterThanOrEqual
 import io.kotest.matchers.longs.shouldBeLessThan
 import io.kotest.matchers.shouldBe
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.CoroutineStart
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
+import org.hickorytiller.core.TimeMs
 import org.hickorytiller.core.monotonicClock
 import org.hickorytiller.http.EventLoop
 import org.hickorytiller.http.Headers
@@ -18,6 +21,7 @@
 import org.hickorytiller.http.HttpLimits
 import org.hickorytiller.http.HttpServer
 import org.hickorytiller.http.RequestHead
+import org.hickorytiller.routes.RouteId
 import java.net.InetSocketAddress
 
 class StopTaskTest : AnnotationSpec() {
@@ -44,6 +48,58 @@
         task.ended.isCompleted shouldBe true
     }
 
+    /**
+     * Regression test: a host accepted streams on open connections up to its end and cut them off (review/3). The
+     * rules are those of a daemon with 8 s between the signal and its end.
+     */
+    @Test
+    fun `a stopping process accepts only requests that end before it does`() {
+        var nowMs = 0L
+        val stopped = mutableListOf<String>()
+        val task = StopTask({ TimeMs(nowMs) }, StopRules(acceptMs = 3_300, limitMs = 7_300), InFlight(), {}, { stopped += "accepting" })
+        task.accepts(TimeMs(90_000), expectedMs = 60_000) shouldBe true
+        runBlocking {
+            val stop = launch(start = CoroutineStart.UNDISPATCHED) { task.stop() }
+            // The time since the signal, the time to the deadline, and what recent responses of the route took.
+            listOf(
+                Triple(0L, 15_000L, 5_000L) to true,
+                Triple(0L, 15_000L, 7_400L) to false,
+                Triple(0L, 15_000L, null) to false,
+                Triple(0L, 7_200L, 9_000L) to true,
+                Triple(2_700L, 15_000L, 4_500L) to true,
+                Triple(2_700L, 15_000L, 4_700L) to false,
+                Triple(2_800L, 15_000L, 500L) to false,
+                Triple(2_800L, 4_500L, 500L) to true,
+                Triple(6_000L, 1_300L, null) to true,
+                Triple(6_000L, 1_400L, 20L) to false,
+                Triple(7_400L, 1L, 1L) to false,
+            ).forAll { (request, isAccepted) ->
+                nowMs = request.first
+                task.accepts(TimeMs(nowMs + request.second), request.third) shouldBe isAccepted
+            }
+            stop.cancel()
+        }
+    }
+
+    // The log is written between the decision to end and the end; a request read then would be passed on and cut off.
+    @Test
+    fun `a process that is about to end accepts no request`() {
+        val task = task(StopRules(acceptMs = 1, limitMs = 5_000), InFlight())
+        runBlocking { task.stop() }
+        task.accepts(monotonicClock() + 10, expectedMs = 1) shouldBe false
+    }
+
+    @Test
+    fun `the duration of a route is the longest of its latest responses`() {
+        val durations = RecentDurations()
+        durations.longestMs(RouteId("r")) shouldBe null
+        listOf(900L, 100L, 300L).forEach { durations.record(RouteId("r"), it) }
+        durations.longestMs(RouteId("r")) shouldBe 900
+        repeat(18) { durations.record(RouteId("r"), 200) }
+        durations.longestMs(RouteId("r")) shouldBe 300
+        durations.longestMs(RouteId("other")) shouldBe null
+    }
+
     /** Calls [test] with one request in flight, which ends when the given [CompletableDeferred] is completed. */
     private fun withRequest(test: suspend CoroutineScope.(InFlight, CompletableDeferred<Unit>) -> Unit) {
         val loop = EventLoop()
--- a/membership/src/main/kotlin/org/hickorytiller/membership/Drain.kt
+++ b/membership/src/main/kotlin/org/hickorytiller/membership/Drain.kt
@@ -40,6 +40,7 @@
 /** Drain state and the requests in flight of a process. Confined to the event loop. */
 class Drain(private val limits: DrainLimits) {
     private var announcedAt: TimeMs? = null
+    private var isClosed = false
     private var lastActivityAt = TimeMs(Long.MIN_VALUE / 2)
 
     /** Number of requests in flight, from the reception of the head to the end of the response. */
@@ -56,6 +57,17 @@
         return true
     }
 
+    /** Refuses all further requests, since the process is about to end and nothing waits for them. */
+    fun close() {
+        isClosed = true
+    }
+
+    /** Whether a request that has to end by [deadline] may be served, since the process does not end before it. */
+    fun accepts(deadline: TimeMs): Boolean {
+        val drainStartedAt = announcedAt ?: return true
+        return !isClosed && deadline <= drainStartedAt + limits.limitMs
+    }
+
     /** Records the start of a request. Returns whether its response has to announce that the connection is closed. */
     fun requestStarted(now: TimeMs): Boolean {
         inFlight++
--- a/membership/src/test/kotlin/org/hickorytiller/membership/DrainTest.kt
+++ b/membership/src/test/kotlin/org/hickorytiller/membership/DrainTest.kt
@@ -63,6 +63,18 @@
         drain.phase(TimeMs(13_300)) shouldBe DrainPhase.ENDED
     }
 
+    // Guards against requests that are accepted shortly before the process ends, and cut off by its end.
+    @Test
+    fun `a request that may outlast the process, or that arrives when it ends, is not accepted`() {
+        val drain = Drain(limits)
+        drain.accepts(TimeMs(Long.MAX_VALUE)) shouldBe true
+        drain.begin(TimeMs(1_000))
+        drain.accepts(TimeMs(121_000)) shouldBe true
+        drain.accepts(TimeMs(121_001)) shouldBe false
+        drain.close()
+        drain.accepts(TimeMs(2_000)) shouldBe false
+    }
+
     /** Simulates [calls] during a drain in steps of 10 ms until the process ends. */
     private fun simulate(limits: DrainLimits, calls: List<Call>): Outcome {
         val drain = Drain(limits)
--- a/router/src/main/kotlin/org/hickorytiller/router/CallerError.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerError.kt
@@ -28,6 +28,8 @@
 
         val notReady = unavailable("not_ready", "the configuration has not been read yet")
 
+        val stopping = unavailable("stopping", "this router stops before the request would have ended")
+
         fun of(refusal: AdmissionRefusal): CallerError {
             val retryAfterSeconds = ((refusal.retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND).toInt()
             return when (refusal.reason) {
--- a/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/CallerFrontEnd.kt
@@ -117,6 +117,10 @@
             return false
         }
         val request = resolver.resolve(head, body).getOrElse { return connection.sendError(it) }
+        if (!operations.drain.accepts(request.dispatchRequest.deadline)) {
+            connection.closeAfterResponse = true
+            return connection.sendError(CallerError.stopping)
+        }
         val response = CallerResponse(connection)
         val isReusable = runUntilCancelled(connection, request, response)
         val requestClass = request.requestClass.id.value
--- a/router/src/main/kotlin/org/hickorytiller/router/DrainTask.kt
+++ b/router/src/main/kotlin/org/hickorytiller/router/DrainTask.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hickorytiller.core.Clock
+import org.hickorytiller.core.TimeMs
 import org.hickorytiller.http.ServerConnection
 import org.hickorytiller.membership.Drain
 import org.hickorytiller.membership.DrainPhase
@@ -57,6 +58,8 @@
             awaitPhase(DrainPhase.ENDED)
             shutdownFunctions.forEach { (name, function) -> shutDown(name, function) }
         } while (drain.phase(clock()) != DrainPhase.ENDED)
+        // Requests that arrive while the end is announced would be cut off.
+        drain.close()
         record(EventKind.DRAIN_ENDED, "${drain.inFlight} requests in flight", null)
         announceEnd()
         log.info { "drained; ${drain.inFlight} requests in flight" }
@@ -76,6 +79,9 @@
         }
     }
 
+    /** Whether a request may be served that has to end by [deadline]. */
+    fun accepts(deadline: TimeMs): Boolean = drain.accepts(deadline)
+
     /** Returns the phase and the number of requests in flight, for operators. */
     fun status() = mapOf("phase" to drain.phase(clock()).name.lowercase(), "inFlight" to drain.inFlight)
 
