Continue a broken stream only with events that follow its last one

An operator reports that callers found the error of the next server in a stream that had broken off, or that the stream ended there as if it were complete. Shown here by scripted servers: text, whole heads and doubled events were relayed, and a 204 ended the stream as complete. After a 500 of one server and a complete stream of another, the request was sent a third time or its connection was closed.

Cause: a response counted as the stream by its status of 2xx alone, and the error kept for the case that no server succeeds was not dropped when a stream began.

Change: status 200, a content type of events if one is stated, and a first event whose id follows the last one; otherwise the attempt is lost. Streams without event ids are not resumed.

--- a/relay/src/main/kotlin/org/hickorytiller/relay/EventBuffer.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/EventBuffer.kt
@@ -11,6 +11,7 @@
 /** Splits one stream into complete events. */
 internal class EventBuffer {
     private var parser = EventParser()
+    private var isResuming = false
 
     /** Id of the last complete event. */
     var lastEventId: EventId? = null
@@ -19,14 +20,16 @@
     /** Whether bytes of an incomplete event are buffered. */
     val hasPartialEvent: Boolean get() = parser.bufferedBytes > 0
 
-    /** Discards the buffered bytes, since another server resumes after the last complete event. */
-    fun discardPartial() {
+    /** Discards the buffered bytes, since the next response resumes after the last complete event, if there is one. */
+    fun startResponse() {
         parser = EventParser()
+        isResuming = lastEventId != null
     }
 
     /**
      * Adds the next bytes of the stream and returns the events that are complete; empty if there is none. Returns null
-     * if an event exceeds the limit of the parser.
+     * if an event exceeds the limit of the parser, or if the first event of a resumed stream does not follow the last
+     * one: a server may send an error, or the stream from its beginning.
      */
     fun feed(bytes: ByteArray): ByteArray? {
         val events =
@@ -36,6 +39,8 @@
                 return null
             }
         if (events.isEmpty()) return EMPTY
+        if (isResuming && !isAfterLast(events.first().id)) return null
+        isResuming = false
         val whole = ByteArrayOutputStream(bytes.size)
         for (event in events) {
             whole.write(event.bytes)
@@ -44,6 +49,13 @@
         return whole.toByteArray()
     }
 
+    private fun isAfterLast(id: String?): Boolean {
+        val last = lastEventId?.value ?: return true
+        if (id == null || id == last) return false
+        val number = id.toLongOrNull() ?: return true
+        return number > (last.toLongOrNull() ?: return true)
+    }
+
     private companion object {
         val EMPTY = ByteArray(0)
     }
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -13,6 +13,7 @@
 import org.hickorytiller.core.Clock
 import org.hickorytiller.core.FailureDomain
 import org.hickorytiller.core.Verdict
+import org.hickorytiller.http.HttpStatus
 import org.hickorytiller.http.ResponseHead
 import org.hickorytiller.placement.Placement
 import org.hickorytiller.placement.PlacementRequest
@@ -61,6 +62,9 @@
     val runMoves: RunMoves? = null,
 )
 
+private fun ResponseHead.mayContinueStream() = status == HttpStatus.OK &&
+    headers["content-type"]?.trimStart()?.startsWith("text/event-stream", ignoreCase = true) ?: true
+
 /** Relays the requests of one host. Confined to the event loop. */
 class Relay(
     private val clock: Clock,
@@ -139,7 +143,10 @@
             return if (canRetry()) null else finish(OutcomeReason.SERVER_ERROR)
         }
 
-        private fun canRetry() = request.route.isRetryable && sendCount < request.route.maxAttempts
+        // A stream whose events have no ids cannot be resumed.
+        private fun canRetry() = request.route.isRetryable &&
+            sendCount < request.route.maxAttempts &&
+            (!hasResponseStarted || eventBuffer.lastEventId != null)
 
         private fun recordAndCheckRetry(failure: ExchangeFailure): Boolean = when (failure) {
             // A moved run that cannot reach its target has run already.
@@ -246,7 +253,12 @@
             run: ObservedRun,
             pendingMove: PendingMove?,
         ): AttemptResult {
-            val isStream = request.route.responseMode == ResponseMode.STREAM && response.head.status in SUCCESS
+            val head = response.head
+            // Once a part of a stream was relayed, only a response with events can continue it.
+            val isStream =
+                request.route.responseMode == ResponseMode.STREAM &&
+                    head.status in SUCCESS &&
+                    (!hasResponseStarted || head.mayContinueStream())
             return if (isStream) {
                 relayStream(server, response, run, pendingMove)
             } else {
@@ -288,7 +300,7 @@
             run: ObservedRun,
             pendingMove: PendingMove?,
         ): AttemptResult {
-            eventBuffer.discardPartial()
+            eventBuffer.startResponse()
             val gapMs = if (canRetry()) rules.eventGapTimeoutMs else null
             val reader = EventReader(clock, response, eventBuffer, request.deadline, gapMs)
             while (true) {
@@ -302,17 +314,18 @@
             }
             placement.succeeded(server.id)
             suspects.answered(run, clock())
-            if (!hasResponseStarted && !sink.startStream(response.head)) return AttemptResult(null, isCallerGone = true)
-            hasResponseStarted = true
+            // A stream without events is a response too.
+            if (!relayEvents(response.head, NO_EVENTS)) return AttemptResult(null, isCallerGone = true)
             return AttemptResult(null, isCallerGone = !sink.endStream())
         }
 
         private suspend fun relayEvents(head: ResponseHead, events: ByteArray): Boolean {
             if (!hasResponseStarted) {
                 hasResponseStarted = true
+                errorResponse = null
                 if (!sink.startStream(head)) return false
             }
-            return sink.sendEvents(events)
+            return events.isEmpty() || sink.sendEvents(events)
         }
     }
 
@@ -343,6 +356,7 @@
 
     private companion object {
         val SUCCESS = 200..299
+        val NO_EVENTS = ByteArray(0)
         const val SERVER_ERRORS = 500
     }
 }
--- a/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
+++ b/relay/src/test/kotlin/org/hickorytiller/relay/RelayTest.kt
@@ -20,6 +20,7 @@
 import org.hickorytiller.core.PoolId
 import org.hickorytiller.core.TimeMs
 import org.hickorytiller.core.Verdict
+import org.hickorytiller.http.Headers
 import org.hickorytiller.http.RequestHead
 import org.hickorytiller.http.ResponseHead
 import org.hickorytiller.placement.Placement
@@ -49,7 +50,12 @@
     private sealed interface Script {
         class Fails(val failure: ExchangeFailure) : Script
 
-        class Responds(val status: Int, val chunks: List<String>, val thenFailure: ExchangeFailure? = null) : Script
+        class Responds(
+            val status: Int,
+            val chunks: List<String>,
+            val thenFailure: ExchangeFailure? = null,
+            val contentType: String? = null,
+        ) : Script
 
         /** Sends [chunk] again and again, each [everyMs] after the one before. */
         class Endless(val status: Int, val chunk: String, val everyMs: Long) : Script
@@ -91,7 +97,8 @@
             val receive: ReceiveBytes = {
                 chunks.removeFirstOrNull()?.toByteArray()?.right() ?: script.thenFailure?.left() ?: null.right()
             }
-            StartedResponse(ResponseHead(script.status), receive) { releasedExchanges++ }.right()
+            val headers = script.contentType?.let { Headers.of("Content-Type" to it) } ?: Headers.EMPTY
+            StartedResponse(ResponseHead(script.status, headers), receive) { releasedExchanges++ }.right()
         }
         is Script.Endless -> {
             val bytes = script.chunk.toByteArray()
@@ -255,6 +262,53 @@
         endedStreams shouldBe 0
     }
 
+    // An operator's callers found the error of the next server in the middle of their stream, or the stream ended there.
+    @Test
+    fun `a stream that broke off is not continued with a response that does not follow its last event`() {
+        val error = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed"
+        listOf(
+            Script.Responds(500, listOf("failed\n\n")),
+            Script.Responds(503, listOf(error)),
+            Script.Responds(404, listOf(events(3))),
+            Script.Responds(204, emptyList()),
+            Script.Responds(200, listOf("failed\n\n"), contentType = "text/plain"),
+            Script.Responds(200, emptyList(), contentType = "application/json"),
+            Script.Responds(200, listOf("data: failed\n\n")),
+            Script.Responds(200, listOf(error + "\n\n")),
+            Script.Responds(200, listOf(events(1, 2, 3, 4))),
+            Script.Responds(200, listOf(events(2, 3))),
+        ).forAll { next ->
+            reset()
+            val scripts = listOf(Script.Responds(200, listOf(events(1, 2)), ExchangeFailure.LOST), next)
+            val outcome = runBlocking { relay(scripts).run(request(ResponseMode.STREAM, isRetryable = true), sink) }
+            outcome.reason shouldBe OutcomeReason.STREAM_BROKEN
+            relayed.toString() shouldBe events(1, 2)
+            endedStreams shouldBe 0
+        }
+    }
+
+    // Without an id the next server would send the stream from its beginning, and the caller would get events twice.
+    @Test
+    fun `a stream without event ids is not resumed`() {
+        val scripts = listOf(Script.Responds(200, listOf("data: a\n\n"), ExchangeFailure.LOST))
+        val outcome = runBlocking { relay(scripts).run(request(ResponseMode.STREAM, isRetryable = true, maxAttempts = 3), sink) }
+        outcome.reason shouldBe OutcomeReason.STREAM_BROKEN
+        attempts.size shouldBe 1
+    }
+
+    // The kept error made the relay send the request once more, or break off the connection, after a complete stream.
+    @Test
+    fun `a complete stream ends the request although another server failed before`() {
+        listOf(2, 3).forAll { maxAttempts ->
+            reset()
+            val scripts = listOf(Script.Responds(500, listOf("no")), Script.Responds(200, listOf(events(1, 2))))
+            val outcome = runBlocking { relay(scripts).run(request(ResponseMode.STREAM, isRetryable = true, maxAttempts), sink) }
+            outcome.reason shouldBe OutcomeReason.ANSWERED
+            attempts.size shouldBe 2
+            endedStreams shouldBe 1
+        }
+    }
+
     @Test
     fun `a truncated buffered response is not relayed`() {
         val broken = Script.Responds(200, listOf("half"), ExchangeFailure.LOST)
