Keep late copies of refusals off the connections of later attempts

An operator reports that a faulty server wrote an earlier refusal once more on a kept connection, and requests that ran were reported as not run or ran twice. Shown here on raw sockets: after a 421 the address is listed for another server, the request goes to it on the kept connection, and the copy of the refusal bears the right request id.

Cause: a pooled connection was used for an address that the same request had been sent to. Copies for other requests were told apart by their id already, which the second case shows.

Change: a request uses a new connection for an address that it was sent to before. In the chat-completions front end a response on a reused connection must bear the request id; the rule that tests use to switch the protection off (ReuseRule.ALWAYS) covers this check too.

Before: the first case of StaleRefusalTest fails, the request runs twice; the new case of DispatcherTest fails (SERVER_ERROR for BAD_RESPONSE). After: they pass.

--- a/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Exchange.kt
+++ b/dispatch/src/main/kotlin/org/hickorytiller/dispatch/Exchange.kt
@@ -36,7 +36,10 @@
 /** The dependencies that all exchanges of a router share. */
 internal class ExchangeContext(val client: HttpClient, val clock: Clock, val reuseRule: ReuseRule)
 
-/** Which connections are reused. Tests use [ALWAYS] to show that [ONLY_CLEAN] is needed. */
+/**
+ * Which connections are reused, and whether a response without a request id is accepted on them. Tests use [ALWAYS] to
+ * show that [ONLY_CLEAN] is needed.
+ */
 internal enum class ReuseRule { ONLY_CLEAN, ALWAYS }
 
 internal class Exchange(
@@ -65,7 +68,7 @@
         val waitUntil = context.clock() + firstResponseTimeoutMs(request, context.clock())
         opened.send(requestHead(resumeFrom), request.body)
         val head = receiveHead(opened, waitUntil).getOrElse { return failure(it).left() }
-        if (!matchesRequest(head)) return FailureKind.BAD_RESPONSE.left()
+        if (!matchesRequest(head, opened)) return FailureKind.BAD_RESPONSE.left()
         return if (isEventStream(head)) openStream(opened, head, waitUntil) else receiveBody(opened, head, waitUntil)
     }
 
@@ -106,10 +109,11 @@
         return HttpFault.MALFORMED.left()
     }
 
-    private fun matchesRequest(head: ResponseHead): Boolean {
+    // On a reused connection a response without an id may be a late copy of an earlier one.
+    private fun matchesRequest(head: ResponseHead, connection: ClientConnection): Boolean {
         val echoedId = head.headers[REQUEST_ID]
         echoesRequestId = echoedId == id
-        return echoedId == null || echoesRequestId
+        return echoesRequestId || (echoedId == null && (!connection.isReused || context.reuseRule == ReuseRule.ALWAYS))
     }
 
     private fun isEventStream(head: ResponseHead) = request.isStreamed &&
--- a/dispatch/src/test/kotlin/org/hickorytiller/dispatch/DispatcherTest.kt
+++ b/dispatch/src/test/kotlin/org/hickorytiller/dispatch/DispatcherTest.kt
@@ -255,6 +255,23 @@
         }
     }
 
+    // A proxy before the engine may write its refusal, which has no id, once more.
+    @Test
+    fun `a response without an id on a reused connection is not taken for the response to the request`() {
+        ScriptedServer { received ->
+            val refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+            Script(if (received.body == "second" && received.connection == 1) refusal else completeResponse(received))
+        }.use { server ->
+            val relayed = Relayed()
+            val dispatcher = dispatcher()
+            val results = listOf("first", "second").map { body ->
+                onLoop { dispatcher.run(request(body = body), context(servers(listOf(server.address)), relayed)) }
+            }
+            results.map { it.getOrNull()?.head?.status } shouldBe listOf(200, 200)
+            relayed.reports.mapNotNull { it.failure } shouldBe listOf(FailureKind.BAD_RESPONSE)
+        }
+    }
+
     @Test
     fun `a late, duplicate or misdirected response does not reach another caller`() {
         (1L..10L).toList().forAll { seed ->
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Exchange.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Exchange.kt
@@ -31,6 +31,8 @@
  * @property responseHeadTimeoutMs time within which the response head must be received
  * @property resumeAfter event after which the stream is resumed; null to start at the beginning
  * @property movedRun run that the attempt continues; null if it starts a new one
+ * @property isAddressRepeated whether the request was sent to the same address before. A late copy of the response to
+ *   that attempt bears the same request id, so it must not arrive on the connection of this one
  */
 class Attempt(
     val server: BackendServer,
@@ -39,6 +41,7 @@
     val responseHeadTimeoutMs: Long,
     val resumeAfter: EventId?,
     val movedRun: MovedRun? = null,
+    val isAddressRepeated: Boolean = false,
 )
 
 /** Receives the next bytes of a response within the given milliseconds; null at its end. */
--- a/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
+++ b/relay/src/main/kotlin/org/hickorytiller/relay/Relay.kt
@@ -21,6 +21,7 @@
 import org.hickorytiller.quarantine.ObservedRun
 import org.hickorytiller.quarantine.SuspectTable
 import org.hickorytiller.routes.ResponseMode
+import java.net.InetSocketAddress
 
 /** Called once a server has started to run a request or may have, at most once for each request. */
 typealias OnRun = (RelayRequest) -> Unit
@@ -87,6 +88,7 @@
     /** The progress of one request over all its attempts. */
     private inner class Execution(private val request: RelayRequest, private val sink: ResponseSink) {
         private val triedServers = HashSet<BackendServerId>()
+        private val triedAddresses = HashSet<InetSocketAddress>()
         private val eventBuffer = EventBuffer()
         private var sendCount = 0
         private var unreachableCount = 0
@@ -198,7 +200,15 @@
                 val timeoutMs = request.deadline - clock()
                 val resumeAfter = eventBuffer.lastEventId ?: request.resumeAfter
                 val attempt =
-                    Attempt(server, request, timeoutMs, responseHeadTimeoutMs(timeoutMs), resumeAfter, moved)
+                    Attempt(
+                        server,
+                        request,
+                        timeoutMs,
+                        responseHeadTimeoutMs(timeoutMs),
+                        resumeAfter,
+                        moved,
+                        isAddressRepeated = !triedAddresses.add(server.address),
+                    )
                 val response = servers.sendAttempt(attempt).getOrElse {
                     return probeIfLost(server, recordFailure(server, it))
                 }
