Check the lease before each order and renew it between slow calls

Cause: the lease was checked once for the whole list, and no renewal was possible meanwhile.

Change: before each order and each usage report the holder checks that it holds the lease and that no renewal is due. The rest of the list follows with a later plan.

RecentDurations keeps at most 4,096 routes, since routes come and go with the configuration.

--- a/core/src/main/kotlin/org/hickorytiller/core/Decoding.kt
+++ b/core/src/main/kotlin/org/hickorytiller/core/Decoding.kt
@@ -1,8 +1,8 @@
 /**
  * Runs decoders on bytes that another process has written. Decoders report invalid input with exceptions of unrelated
- * types: Jackson uses its own for syntax, `CharConversionException` for undecodable characters and
- * `IllegalStateException` for colliding names. A decoder that recurses can also exhaust the stack. Invalid input must
- * never end the task that reads it, so a call here returns all of these as a fault.
+ * types: Jackson uses its own for syntax and `CharConversionException` for undecodable characters. A decoder that
+ * recurses can also exhaust the stack. Invalid input must never end the task that reads it, so a call here returns all
+ * of these as a fault.
  */
 package org.hickorytiller.core
 
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/DutyTask.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/DutyTask.kt
@@ -20,8 +20,11 @@
 import org.hickorytiller.platform.DutyLeaseStore
 import org.hickorytiller.platform.StoreFailure
 
-/** Sends the orders that are due under a fencing token. */
-internal typealias PlaceOrders = suspend (Long) -> Unit
+/** Whether this host may make a further call under its fencing token now. */
+internal typealias MayAct = () -> Boolean
+
+/** Sends the orders that are due under a fencing token, each of them only if it may act then. */
+internal typealias PlaceOrders = suspend (Long, MayAct) -> Unit
 
 /** The duties of one host. Confined to the event loop. */
 internal class DutyTask(
@@ -113,16 +116,19 @@
     private suspend fun performDuties() {
         val token = lease.fencingToken ?: return
         for ((window, counts) in duties.reports.unacknowledgedCounts(medianWallMs())) {
-            if (!lease.holds()) return
+            if (!mayAct()) return
             val delivery = duties.client.reportUsage(window, counts, token)
             log.info {
                 "event=usage_report window=$window requests=${counts.values.sum()} token=$token outcome=$delivery"
             }
             if (delivery == Delivery.Taken) duties.reports.markAcknowledged(window) else return
         }
-        if (lease.holds()) duties.placeOrders(token)
+        duties.placeOrders(token, ::mayAct)
     }
 
+    // Calls may be slow and many are due at a time, so the lease is renewed between them.
+    private fun mayAct() = lease.holds() && !lease.isRenewalDue()
+
     private fun logHolderChange() {
         val holds = lease.holds()
         if (holds == wasHolder) return
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/FleetTask.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/FleetTask.kt
@@ -36,8 +36,8 @@
     // Halved, so that the difference to the current time does not overflow.
     private var lastPlanAt = TimeMs(Long.MIN_VALUE / 2)
 
-    /** Sends the orders that are due under [token]. */
-    suspend fun placeOrders(token: Long) {
+    /** Sends the orders that are due under [token] while [mayAct] returns true; the others follow with a later plan. */
+    suspend fun placeOrders(token: Long, mayAct: MayAct) {
         if (token != lastToken) {
             tracker.clear()
             planners.clear()
@@ -45,15 +45,16 @@
         lastToken = token
         if (clock() - lastPlanAt < PLAN_INTERVAL_MS) return
         lastPlanAt = clock()
-        for (pool in pools().filter { it.scaling != null }) placeOrders(pool, token)
+        for (pool in pools().filter { it.scaling != null }) placeOrders(pool, token, mayAct)
     }
 
-    private suspend fun placeOrders(pool: PoolSpec, token: Long) {
+    private suspend fun placeOrders(pool: PoolSpec, token: Long, mayAct: MayAct) {
         val planner = planners.getOrPut(pool.id) { FleetPlanner(clock) }
         val servers = placement.servers(pool.id)
         val inFlight = placement.inFlight(pool.id)
         val wanted = planner.plan(PoolStatus(pool, servers, inFlight, limited()))
         for (order in tracker.toSend(wanted) { count(it) }) {
+            if (!mayAct()) return
             val delivery = client.placeOrder(order, token)
             log.info {
                 "event=fleet_order pool=${pool.id} domain=${order.group.domain} " +
--- a/daemon/src/main/kotlin/org/hickorytiller/daemon/RecentDurations.kt
+++ b/daemon/src/main/kotlin/org/hickorytiller/daemon/RecentDurations.kt
@@ -5,7 +5,10 @@
 
 /** The durations of the latest complete responses of each route. Confined to the event loop. */
 internal class RecentDurations {
-    private val byRoute = HashMap<RouteId, ArrayDeque<Long>>()
+    private val byRoute =
+        object : LinkedHashMap<RouteId, ArrayDeque<Long>>() {
+            override fun removeEldestEntry(eldest: Map.Entry<RouteId, ArrayDeque<Long>>) = size > MAX_ROUTES
+        }
 
     /** Records that a response of [route] took [durationMs] from the receipt of its request. */
     fun record(route: RouteId, durationMs: Long) {
@@ -20,5 +23,8 @@
     private companion object {
         // The longest of twenty is about the 95th percentile, so one slow response does not count for long.
         const val SAMPLES = 20
+
+        // Routes come and go with the configuration.
+        const val MAX_ROUTES = 4_096
     }
 }
